--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Announcement.java
@@ -0,0 +1,8 @@
+package org.jackdawbeam.logic.fleet;
+
+/** Whether the store knows of this entry. */
+public enum Announcement {
+    DUE,
+    SENT,
+    STANDS
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -0,0 +1,210 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import org.jackdawbeam.model.fleet.RouteKind;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.jackdawbeam.model.request.AttemptFailure;
+import org.jackdawbeam.model.request.AttemptId;
+
+/** Follows attempts at targets, and decides what may be tried again. */
+final class AttemptFlow {
+    private static final int MAXIMUM_SENDS = 4; // rejections included; bounds a request's part of the retries
+    private static final int SERVER_ERRORS = 500;
+    private static final Set<Integer> PROMISES_OF_NO_EXECUTION = Set.of(408, 421, 429, 503);
+    private static final int MISDIRECTED = 421;
+
+    private final DispatchFlow dispatch;
+
+    AttemptFlow(DispatchFlow dispatch) {
+        this.dispatch = dispatch;
+    }
+
+    FleetState onAnswered(FleetState state, FleetEvent.AttemptAnswered event, List<FleetEffect> effects) {
+        Optional<FleetRequest> found = current(state, event.attempt());
+        if (found.isEmpty()) {
+            return state;
+        }
+        FleetRequest request = found.get();
+        String id = ((FleetPhase.Running) request.phase()).target();
+        FleetState loaded = withTarget(state, id, target -> target.withLoad(event.load()));
+        boolean rejected = event.notExecuted() || event.status() == MISDIRECTED;
+        if (rejected) {
+            effects.add(new FleetEffect.CancelAttempt(event.attempt()));
+            FleetState corrected = event.status() == MISDIRECTED
+                    ? withTarget(loaded, id, target -> withoutAdapter(target, request))
+                    : loaded;
+            FleetState known = withTarget(corrected, id, FleetTarget::answeredWithError);
+            return again(known, request, id, false, "rejected with " + event.status(), event.nowMillis(), effects);
+        }
+        boolean failed = event.status() >= SERVER_ERRORS;
+        FleetState judged = withTarget(
+                loaded, id, target -> failed ? target.answeredWithError() : target.succeeded().begun(event.attempt()));
+        boolean resumes = request.executions() > 0 && request.route().kind() == RouteKind.STREAMING;
+        if (failed && (mayRepeat(judged, request, event.nowMillis()) || resumes)
+                || PROMISES_OF_NO_EXECUTION.contains(event.status())) {
+            effects.add(new FleetEffect.CancelAttempt(event.attempt()));
+            return again(judged, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
+        }
+        effects.add(new FleetEffect.RelayAnswer(event.attempt()));
+        return judged.with(request.in(new FleetPhase.Running(event.attempt(), id, true)));
+    }
+
+    FleetState onStreaming(FleetState state, FleetEvent.AttemptStreaming event) {
+        return current(state, event.attempt())
+                .map(request -> withTarget(
+                        state,
+                        ((FleetPhase.Running) request.phase()).target(),
+                        target -> target.begun(event.attempt())))
+                .orElse(state);
+    }
+
+    FleetState onCompleted(FleetState state, FleetEvent.AttemptCompleted event) {
+        Optional<FleetRequest> found = current(state, event.attempt());
+        if (found.isEmpty()) {
+            return state;
+        }
+        FleetPhase.Running running = (FleetPhase.Running) found.get().phase();
+        return DispatchFlow.withoutOutstanding(state, running).without(found.get());
+    }
+
+    FleetState onFailed(FleetState state, FleetEvent.AttemptFailed event, List<FleetEffect> effects) {
+        Optional<FleetRequest> found = current(state, event.attempt());
+        if (found.isEmpty()) {
+            return state;
+        }
+        String id = ((FleetPhase.Running) found.get().phase()).target();
+        boolean connection = event.failure() == AttemptFailure.CONNECT_FAILED
+                || event.failure() == AttemptFailure.CONNECTION_LOST;
+        FleetState judged = withTarget(
+                state,
+                id,
+                target -> connection ? target.unreachable(event.nowMillis()) : target.answeredWithError());
+        return again(judged, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
+    }
+
+    /** Work that may run again, and streams, are cancelled; a call that must run at most once runs to its end. */
+    FleetState onCallerLeft(FleetState state, FleetEvent.CallerLeft event, List<FleetEffect> effects) {
+        FleetRequest request = state.requests().get(event.requestId());
+        if (request == null) {
+            return state;
+        }
+        return switch (request.phase()) {
+            case FleetPhase.Running running when request.route().kind() == RouteKind.UNSAFE ->
+                state.with(request.withoutCaller());
+            case FleetPhase.Running running -> {
+                effects.add(new FleetEffect.CancelAttempt(running.attempt()));
+                effects.add(new FleetEffect.ForgetRequest(
+                        request.id(), request.call().callerRequestId()));
+                yield DispatchFlow.withoutOutstanding(state, running).without(request);
+            }
+            default -> {
+                effects.add(new FleetEffect.ForgetRequest(
+                        request.id(), request.call().callerRequestId()));
+                yield state.without(request);
+            }
+        };
+    }
+
+    /** Tries the request at another target if it may run there, and gives it up otherwise. */
+    private FleetState again(
+            FleetState state,
+            FleetRequest before,
+            String target,
+            boolean mayHaveRun,
+            String reason,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        FleetPhase.Running running = (FleetPhase.Running) before.phase();
+        boolean adapterMissing = !mayHaveRun && before.call().adapter().isPresent();
+        FleetRequest request = adapterMissing ? before : before.failedAt(target, mayHaveRun);
+        FleetState released = DispatchFlow.withoutOutstanding(state, running).with(request);
+        if (request.callerLeft()) {
+            effects.add(new FleetEffect.ForgetRequest(request.id(), request.call().callerRequestId()));
+            return released.without(request);
+        }
+        effects.add(FleetEffect.Note.of(
+                "attempt_failed",
+                "request",
+                request.call().callerRequestId(),
+                "target",
+                target,
+                "reason",
+                reason,
+                "may_have_run",
+                mayHaveRun,
+                "attempts",
+                request.attempts()));
+        if (maySendAgain(released, request, nowMillis)) {
+            FleetState paid = spend(released, request, nowMillis);
+            return dispatch.dispatch(paid, request, nowMillis, effects);
+        }
+        if (running.answered()) {
+            effects.add(new FleetEffect.BreakAnswer(request.id(), request.call().callerRequestId(), reason));
+            return released.without(request);
+        }
+        RefusalCode code = request.hasNotRun() ? RefusalCode.NO_CAPACITY : RefusalCode.TARGET_FAILED;
+        return dispatch.refuseUnserved(released, request, code, reason + " at " + target, nowMillis, effects);
+    }
+
+    private static boolean mayRepeat(FleetState state, FleetRequest request, long nowMillis) {
+        FleetRequest failed = request.failedAt("", true);
+        return maySendAgain(state, failed, nowMillis);
+    }
+
+    private static boolean maySendAgain(FleetState state, FleetRequest request, long nowMillis) {
+        boolean answered = request.phase() instanceof FleetPhase.Running running && running.answered();
+        boolean allowed = request.hasNotRun()
+                || request.route().repeatable()
+                        && request.executions() < request.route().maximumAttempts()
+                        && (!answered || request.route().kind() == RouteKind.STREAMING);
+        return allowed
+                && request.attempts() < MAXIMUM_SENDS
+                && allowance(state, request.service(), nowMillis).allowsOne();
+    }
+
+    static FleetState earn(FleetState state, String service, long nowMillis) {
+        return state.with(service, allowance(state, service, nowMillis).earn(state.bounds()));
+    }
+
+    private static FleetState spend(FleetState state, FleetRequest request, long nowMillis) {
+        return state.with(
+                request.service(), allowance(state, request.service(), nowMillis).spend());
+    }
+
+    private static RetryAllowance allowance(FleetState state, String service, long nowMillis) {
+        RetryAllowance known = state.retries().get(service);
+        return known == null
+                ? RetryAllowance.full(state.bounds(), state.memberCount(), nowMillis)
+                : known.accrue(state.bounds(), state.memberCount(), nowMillis);
+    }
+
+    /** The engine does not hold what the request needs; the next report says what it does hold. */
+    private static FleetTarget withoutAdapter(FleetTarget target, FleetRequest request) {
+        if (request.call().adapter().isEmpty() || request.call().model().isEmpty()) {
+            return target;
+        }
+        String model = request.call().model().get();
+        Set<String> held = new HashSet<>(target.adapters().getOrDefault(model, Set.of()));
+        held.remove(request.call().adapter().get());
+        Map<String, Set<String>> adapters = new HashMap<>(target.adapters());
+        adapters.put(model, Set.copyOf(held));
+        return target.withAdapters(Map.copyOf(adapters));
+    }
+
+    private static Optional<FleetRequest> current(FleetState state, AttemptId attempt) {
+        return Optional.ofNullable(state.requests().get(attempt.requestId()))
+                .filter(request -> request.phase() instanceof FleetPhase.Running running
+                        && running.attempt().equals(attempt));
+    }
+
+    private static FleetState withTarget(FleetState state, String id, UnaryOperator<FleetTarget> change) {
+        FleetTarget target = state.targets().get(id);
+        return target == null ? state : state.with(change.apply(target));
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -0,0 +1,231 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.EngineDefinition;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.RouteKind;
+import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.jackdawbeam.model.request.AttemptId;
+
+/** Sends admitted requests to targets, and ends those that cannot be served. */
+final class DispatchFlow {
+    private static final long RETRY_MILLIS = 400; // about a load of a model from an engine's memory
+    private static final long WISH_AGAIN_MILLIS = 400; // a lost wish is repeated well before a caller gives up
+    private static final long LEAST_USEFUL_MILLIS = 150; // a prompt is not read in less
+    private static final int LOWEST_PRIORITY = 9; // the lowest rank that engines know
+
+    private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
+
+    private final QuotaFlow quota;
+    private final PlacementFlow placement;
+
+    DispatchFlow(QuotaFlow quota, PlacementFlow placement) {
+        this.quota = quota;
+        this.placement = placement;
+    }
+
+    FleetState countDemand(FleetState state, FleetRequest request, long nowMillis) {
+        Optional<String> model = request.call().model();
+        if (model.isEmpty()) {
+            return state;
+        }
+        String key = new DemandKey(request.service(), model.get()).text();
+        return state.with(state.demand().plus(key, request.call().inputTokens(), nowMillis));
+    }
+
+    /** Sends the request to the best target, or lets it wait for a replica. */
+    FleetState dispatch(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
+        Optional<String> obstacle = obstacle(state, request, nowMillis);
+        if (obstacle.isPresent()) {
+            RefusalCode code = obstacle.get().equals(KEY_WITHDRAWN) ? RefusalCode.KEY_WITHDRAWN : RefusalCode.HOST_ISOLATED;
+            return refuse(state, request, Refusal.notRun(code, RETRY_MILLIS), obstacle.get(), effects);
+        }
+        boolean engine = request.call().model().isPresent()
+                && state.configuration()
+                        .flatMap(known -> known.engine(request.service()))
+                        .isPresent();
+        List<FleetTarget> usable = state.targets().values().stream()
+                .filter(target -> target.description().service().equals(request.service()))
+                .filter(target -> !target.description().leaving())
+                .toList();
+        List<FleetTarget> able = engine
+                ? usable.stream()
+                        .filter(target -> target.holds(
+                                request.call().model().get(), request.call().adapter()))
+                        .toList()
+                : usable;
+        Optional<TargetChooser.Choice> choice = TargetChooser.best(state, request, able, engine, nowMillis);
+        if (choice.isPresent()
+                && request.tried().contains(choice.get().target().description().id())) {
+            return refuseUnserved(
+                    state, request, RefusalCode.NO_CAPACITY, "all targets have failed it", nowMillis, effects);
+        }
+        if (choice.isPresent()) {
+            return send(state, request, choice.get(), nowMillis, effects);
+        }
+        if (!engine || usable.isEmpty()) {
+            Refusal refusal = refusal(request, RefusalCode.NO_CAPACITY, RETRY_MILLIS);
+            return refuse(state, request, refusal, "service has no target", effects);
+        }
+        return wish(state, request, usable, nowMillis, effects);
+    }
+
+    /** Sends waiting requests whose replica has come, and refuses those whose time is running out. */
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FleetRequest request : state.requests().values()) {
+            if (!(request.phase() instanceof FleetPhase.AwaitingReplica awaiting)) {
+                continue;
+            }
+            if (request.expiresAtMillis() - nowMillis < LEAST_USEFUL_MILLIS) {
+                Refusal refusal = refusal(request, RefusalCode.NO_CAPACITY, RETRY_MILLIS);
+                String reason = "no replica of the model in " + (nowMillis - awaiting.sinceMillis()) + " ms";
+                next = refuse(next, request, refusal, reason, effects);
+            } else {
+                next = dispatch(next, request, nowMillis, effects);
+            }
+        }
+        return next;
+    }
+
+    /** Ends requests whose time has passed. */
+    FleetState expire(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FleetRequest request : state.requests().values()) {
+            if (nowMillis >= request.expiresAtMillis()) {
+                next = expire(next, request, effects);
+            }
+        }
+        return next;
+    }
+
+    /** Answers a request negatively and forgets it. */
+    FleetState refuse(
+            FleetState state, FleetRequest request, Refusal refusal, String reason, List<FleetEffect> effects) {
+        effects.add(new FleetEffect.RefuseRequest(request.id(), request.call().callerRequestId(), refusal, reason));
+        return state.without(request);
+    }
+
+    FleetState refuseUnserved(
+            FleetState state, FleetRequest request, RefusalCode code, String reason, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = request.hasNotRun() ? quota.giveBack(state, request, nowMillis, effects) : state;
+        return refuse(next, request, refusal(request, code, RETRY_MILLIS), reason, effects);
+    }
+
+    static FleetState withoutOutstanding(FleetState state, FleetPhase.Running running) {
+        FleetTarget target = state.targets().get(running.target());
+        return target == null ? state : state.with(target.released(running.attempt()));
+    }
+
+    /** Returns why a request that was admitted must not leave any more. */
+    private static Optional<String> obstacle(FleetState state, FleetRequest request, long nowMillis) {
+        if (request.workspace().isEmpty()) {
+            return Optional.empty();
+        }
+        if (!FeedFlow.knowsWithdrawals(state, nowMillis)) {
+            return Optional.of("configuration not read recently");
+        }
+        String owner = request.call()
+                .key()
+                .flatMap(key -> state.configuration().map(known -> known.workspaceByKey().get(key)))
+                .map(workspace -> workspace.name())
+                .orElse("");
+        return owner.equals(request.workspace().get()) ? Optional.empty() : Optional.of(KEY_WITHDRAWN);
+    }
+
+    private FleetState send(
+            FleetState state,
+            FleetRequest request,
+            TargetChooser.Choice choice,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        AttemptId attempt = new AttemptId(request.id(), request.attempts() + 1);
+        FleetTarget target = choice.target();
+        String id = target.description().id();
+        Outstanding work = new Outstanding(nowMillis, choice.unreadTokens(), choice.estimateMillis(), false);
+        FleetTarget busier = target.sent(attempt, work)
+                .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixes(request), nowMillis));
+        effects.add(new FleetEffect.StartAttempt(
+                attempt,
+                request.call().callerRequestId(),
+                target.description(),
+                request.expiresAtMillis() - nowMillis,
+                request.workspace(),
+                Math.min(LOWEST_PRIORITY, request.priority()),
+                request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
+                choice.estimateMillis()));
+        return state.with(busier).with(request.sent(new FleetPhase.Running(attempt, id, false)));
+    }
+
+    private FleetState wish(
+            FleetState state,
+            FleetRequest request,
+            List<FleetTarget> usable,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        boolean waitsAlready = request.phase() instanceof FleetPhase.AwaitingReplica;
+        FleetPhase.AwaitingReplica before = request.phase() instanceof FleetPhase.AwaitingReplica awaiting
+                ? awaiting
+                : new FleetPhase.AwaitingReplica(nowMillis, nowMillis);
+        if (waitsAlready && nowMillis - before.wishedAtMillis() < WISH_AGAIN_MILLIS) {
+            return state;
+        }
+        String model = request.call().model().orElseThrow();
+        Optional<String> engine = request.call().adapter().flatMap(adapter -> homeOf(state, request, usable, nowMillis));
+        FleetMessage.PlacementWish wish = new FleetMessage.PlacementWish(
+                state.self().id(), request.service(), model, request.call().adapter(), engine);
+        FleetState next = state.with(request.in(new FleetPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
+        if (LeadershipFlow.holds(state, nowMillis)) {
+            return placement.onWish(next, nowMillis, wish, effects);
+        }
+        LeadershipFlow.holder(state, nowMillis)
+                .ifPresent(holder -> effects.add(
+                        new FleetEffect.SendPeerMessage(holder.member().peerAddress(), wish)));
+        return next;
+    }
+
+    /** Returns the engine that should hold the adapter: one with the model, always the same as far as it can serve. */
+    private static Optional<String> homeOf(
+            FleetState state, FleetRequest request, List<FleetTarget> usable, long nowMillis) {
+        String model = request.call().model().orElseThrow();
+        String adapter = request.call().adapter().orElseThrow();
+        int places = state.configuration()
+                .flatMap(known -> known.engine(request.service()))
+                .map(EngineDefinition::adapterPlaces)
+                .orElse(0);
+        return usable.stream()
+                .filter(target -> target.holds(model, Optional.empty()))
+                .min(Comparator.comparingLong(target -> {
+                    int held = target.adapters().values().stream().mapToInt(Set::size).sum();
+                    long crowding = held < places ? 0 : 20;
+                    long preference = Math.floorMod((target.description().id() + adapter).hashCode(), 16);
+                    return TargetChooser.estimate(state, request, target, true, nowMillis).estimateMillis()
+                            + crowding
+                            + preference;
+                }))
+                .map(target -> target.description().id());
+    }
+
+    private FleetState expire(FleetState state, FleetRequest request, List<FleetEffect> effects) {
+        String caller = request.call().callerRequestId();
+        if (!(request.phase() instanceof FleetPhase.Running running)) {
+            return refuse(state, request, refusal(request, RefusalCode.NO_CAPACITY, RETRY_MILLIS), "deadline", effects);
+        }
+        FleetState released = withoutOutstanding(state, running);
+        effects.add(new FleetEffect.CancelAttempt(running.attempt()));
+        if (running.answered()) {
+            effects.add(new FleetEffect.BreakAnswer(request.id(), caller, "deadline passed during the answer"));
+            return released.without(request);
+        }
+        Refusal refusal = Refusal.unknown(RefusalCode.DEADLINE_EXCEEDED);
+        return refuse(released, request, refusal, "no answer from " + running.target(), effects);
+    }
+
+    private static Refusal refusal(FleetRequest request, RefusalCode code, long retryAfterMillis) {
+        return request.hasNotRun() ? Refusal.notRun(code, retryAfterMillis) : Refusal.unknown(RefusalCode.TARGET_FAILED);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -0,0 +1,207 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.TargetDescription;
+
+/** Follows configuration, target list and members in the platform's store. */
+final class FeedFlow {
+
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (Feed feed : Feed.values()) {
+            FeedState progress = next.feed(feed);
+            if (!progress.asking() && nowMillis >= progress.askAtMillis()) {
+                next = next.with(feed, progress.asked(nowMillis));
+                effects.add(new FleetEffect.ReadFeed(feed, progress.nextOffset(), waitMillis(feed)));
+            }
+        }
+        return announce(removeLapsed(next, nowMillis, effects), effects);
+    }
+
+    FleetState onRead(FleetState state, FleetEvent.FeedRead event, List<FleetEffect> effects) {
+        FeedState before = state.feed(event.feed());
+        if (before.failures() > 0) {
+            effects.add(FleetEffect.Note.of("store_regained", "feed", event.feed(), "failures", before.failures()));
+        }
+        long againAt = event.feed() == Feed.TARGETS
+                ? Math.max(event.nowMillis(), event.askedAtMillis() + FleetTimings.TARGETS_PAUSE)
+                : event.nowMillis();
+        FleetState next =
+                state.with(event.feed(), before.answered(event.askedAtMillis(), event.nextOffset(), againAt));
+        if (event.newest() && event.feed() == Feed.TARGETS) {
+            next = removeMissing(next, event, effects);
+        }
+        for (FeedEntry entry : event.entries()) {
+            next = apply(next, entry, event.nowMillis(), effects);
+        }
+        return next;
+    }
+
+    FleetState onFailed(FleetState state, FleetEvent.FeedFailed event, List<FleetEffect> effects) {
+        FeedState before = state.feed(event.feed());
+        if (before.failures() == 0 && !event.historyGone()) {
+            effects.add(FleetEffect.Note.of(
+                    "store_lost",
+                    "feed",
+                    event.feed(),
+                    "last_answer_age_ms",
+                    before.freshAtMillis().isPresent()
+                            ? event.nowMillis() - before.freshAtMillis().getAsLong()
+                            : "none"));
+        }
+        long pause = event.historyGone() ? 0 : FleetTimings.retryPauseMillis(before.failures());
+        return state.with(
+                event.feed(), before.failed(event.nowMillis(), event.historyGone(), event.nowMillis() + pause));
+    }
+
+    FleetState onAnnounced(FleetState state, FleetEvent.AnnouncementEnded event) {
+        return state.with(event.accepted() ? Announcement.STANDS : Announcement.DUE);
+    }
+
+    /** Returns whether requests with a key may be served: whether a withdrawal would have been seen in time. */
+    static boolean knowsWithdrawals(FleetState state, long nowMillis) {
+        long limit = state.bounds().revokeMillis() - FleetTimings.REVOKE_MARGIN;
+        return state.feed(Feed.CONFIGURATION).isFresh(nowMillis, limit);
+    }
+
+    private static FleetState announce(FleetState state, List<FleetEffect> effects) {
+        if (state.announcement() != Announcement.DUE || !(state.stop() instanceof StopStage.Serving)) {
+            return state;
+        }
+        effects.add(new FleetEffect.Announce(state.self()));
+        return state.with(Announcement.SENT);
+    }
+
+    private static long waitMillis(Feed feed) {
+        return switch (feed) {
+            case CONFIGURATION -> FleetTimings.CONFIGURATION_WAIT;
+            case TARGETS -> FleetTimings.TARGETS_WAIT;
+            case MEMBERS -> FleetTimings.MEMBERS_WAIT;
+        };
+    }
+
+    private FleetState apply(FleetState state, FeedEntry entry, long nowMillis, List<FleetEffect> effects) {
+        return switch (entry) {
+            case FeedEntry.Configuration news -> configure(state, news.configuration(), effects);
+            case FeedEntry.Target news -> describe(state, news.description(), effects);
+            case FeedEntry.TargetRemoved removed -> remove(state, removed.id(), nowMillis, effects);
+            case FeedEntry.Member news -> join(state, news.member(), nowMillis, effects);
+            case FeedEntry.MemberRemoved removed -> leave(state, removed.id(), effects);
+            case FeedEntry.Unreadable unreadable -> {
+                effects.add(FleetEffect.Note.of(
+                        "entry_ignored", "key", unreadable.key(), "reason", unreadable.reason()));
+                yield state;
+            }
+        };
+    }
+
+    /** A configuration never goes back: the store may deliver an older one after its history was cut. */
+    private static FleetState configure(FleetState state, FleetConfiguration news, List<FleetEffect> effects) {
+        long known = state.configuration().map(FleetConfiguration::version).orElse(-1L);
+        if (news.version() <= known) {
+            return state;
+        }
+        effects.add(FleetEffect.Note.of(
+                "configuration_changed",
+                "version",
+                news.version(),
+                "previous",
+                known,
+                "workspaces",
+                news.workspaces().size(),
+                "services",
+                news.services().size()));
+        return state.with(news);
+    }
+
+    private static FleetState describe(FleetState state, TargetDescription news, List<FleetEffect> effects) {
+        FleetTarget known = state.targets().get(news.id());
+        boolean changed = known == null || known.description().leaving() != news.leaving();
+        if (changed) {
+            effects.add(FleetEffect.Note.of(
+                    "target_listed",
+                    "target",
+                    news.id(),
+                    "service",
+                    news.service(),
+                    "address",
+                    news.address(),
+                    "leaving",
+                    news.leaving(),
+                    "models",
+                    String.join("+", news.models())));
+        }
+        return state.with(known == null ? FleetTarget.of(news) : known.described(news));
+    }
+
+    private static FleetState removeMissing(FleetState state, FleetEvent.FeedRead event, List<FleetEffect> effects) {
+        Set<String> listed = new HashSet<>();
+        for (FeedEntry entry : event.entries()) {
+            if (entry instanceof FeedEntry.Target target) {
+                listed.add(target.description().id());
+            }
+        }
+        FleetState next = state;
+        for (String id : state.targets().keySet()) {
+            next = listed.contains(id) ? next : remove(next, id, event.nowMillis(), effects);
+        }
+        return next;
+    }
+
+    private static FleetState remove(FleetState state, String id, long nowMillis, List<FleetEffect> effects) {
+        FleetTarget target = state.targets().get(id);
+        if (target == null || target.goneAtMillis().isPresent()) {
+            return state;
+        }
+        boolean maybeOutage = state.feed(Feed.TARGETS).failedSince(nowMillis - FleetTimings.OUTAGE_MEMORY);
+        long goneAt = maybeOutage ? nowMillis + FleetTimings.LAPSE_GRACE : nowMillis;
+        effects.add(FleetEffect.Note.of("target_removed", "target", id, "gone_in_ms", goneAt - nowMillis));
+        return removeLapsed(state.with(target.lapsing(goneAt)), nowMillis, effects);
+    }
+
+    private static FleetState removeLapsed(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (Map.Entry<String, FleetTarget> entry : state.targets().entrySet()) {
+            FleetTarget target = entry.getValue();
+            if (target.goneAtMillis().isPresent() && nowMillis >= target.goneAtMillis().getAsLong()) {
+                next = next.withTargets(next.targets().minus(entry.getKey()))
+                        .with(next.placement().without(entry.getKey()));
+                effects.add(new FleetEffect.ForgetTarget(target.description().address()));
+            }
+        }
+        return next;
+    }
+
+    private static FleetState join(FleetState state, FleetMember member, long nowMillis, List<FleetEffect> effects) {
+        if (member.id().equals(state.self().id())) {
+            boolean standsForUs = member.incarnation().equals(state.self().incarnation());
+            return standsForUs ? state : state.with(Announcement.DUE);
+        }
+        Optional<FleetPeer> known = Optional.ofNullable(state.peers().get(member.id()));
+        if (known.isPresent() && known.get().member().equals(member)) {
+            return state;
+        }
+        effects.add(FleetEffect.Note.of(
+                "member_joined", "member", member.id(), "peer_address", member.peerAddress(), "zone", member.zone()));
+        return state.withPeers(state.peers().plus(member.id(), FleetPeer.announced(member, nowMillis)));
+    }
+
+    private static FleetState leave(FleetState state, String memberId, List<FleetEffect> effects) {
+        if (memberId.equals(state.self().id())) {
+            return state.with(Announcement.DUE);
+        }
+        if (!state.peers().containsKey(memberId)) {
+            return state;
+        }
+        effects.add(FleetEffect.Note.of("member_left", "member", memberId));
+        return state.withPeers(state.peers().minus(memberId));
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
@@ -0,0 +1,59 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.OptionalLong;
+
+/**
+ * How far a feed has been read.
+ *
+ * @param nextOffset where to read on; empty if the newest entries must be read first
+ * @param asking whether a read is under way
+ * @param askedAtMillis when the latest read was sent
+ * @param freshAtMillis sending time of the latest read that was answered; empty before the first
+ * @param failedAtMillis time of the latest failure; empty if there was none
+ * @param failures failures since the latest answer
+ * @param askAtMillis when to read again
+ */
+public record FeedState(
+        OptionalLong nextOffset,
+        boolean asking,
+        long askedAtMillis,
+        OptionalLong freshAtMillis,
+        OptionalLong failedAtMillis,
+        int failures,
+        long askAtMillis) {
+
+    static FeedState unread() {
+        return new FeedState(OptionalLong.empty(), false, 0, OptionalLong.empty(), OptionalLong.empty(), 0, 0);
+    }
+
+    FeedState asked(long nowMillis) {
+        return new FeedState(nextOffset, true, nowMillis, freshAtMillis, failedAtMillis, failures, askAtMillis);
+    }
+
+    FeedState answered(long askedAt, long offset, long againAtMillis) {
+        long fresh = Math.max(askedAt, freshAtMillis.orElse(Long.MIN_VALUE));
+        return new FeedState(
+                OptionalLong.of(offset), false, askedAtMillis, OptionalLong.of(fresh), failedAtMillis, 0, againAtMillis);
+    }
+
+    FeedState failed(long nowMillis, boolean historyGone, long againAtMillis) {
+        OptionalLong next = historyGone ? OptionalLong.empty() : nextOffset;
+        return new FeedState(
+                next,
+                false,
+                askedAtMillis,
+                freshAtMillis,
+                OptionalLong.of(nowMillis),
+                failures + 1,
+                againAtMillis);
+    }
+
+    /** Returns whether the latest answered read was sent less than the given time ago. */
+    boolean isFresh(long nowMillis, long withinMillis) {
+        return freshAtMillis.isPresent() && nowMillis - freshAtMillis.getAsLong() < withinMillis;
+    }
+
+    boolean failedSince(long sinceMillis) {
+        return failedAtMillis.isPresent() && failedAtMillis.getAsLong() >= sinceMillis;
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetDirectory.java
@@ -0,0 +1,33 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawbeam.model.fleet.FleetMember;
+
+/** Answers callers that ask where to connect. */
+public final class FleetDirectory {
+    private static final int MAXIMUM_ADDRESSES = 64;
+
+    private FleetDirectory() {}
+
+    /** Returns the addresses of the entries that take callers; empty if there are none. */
+    public static List<String> addresses(FleetState state, long nowMillis) {
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        List<String> addresses = new ArrayList<>();
+        if (PeerFlow.isReady(state, nowMillis)) {
+            addresses.add(state.self().callerAddress());
+        }
+        state.peers().values().stream()
+                .filter(peer -> peer.isReady() && peer.isAlive(nowMillis, silence))
+                .map(FleetPeer::member)
+                .map(FleetMember::callerAddress)
+                .limit(MAXIMUM_ADDRESSES - 1L)
+                .forEach(addresses::add);
+        return List.copyOf(addresses);
+    }
+
+    /** Returns whether this entry takes callers. */
+    public static boolean isReady(FleetState state, long nowMillis) {
+        return PeerFlow.isReady(state, nowMillis);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -0,0 +1,102 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.request.AttemptId;
+
+/** Everything that an entry of a fleet does to the outside, as data. */
+public sealed interface FleetEffect {
+
+    /**
+     * Reads a feed of the store.
+     *
+     * @param fromOffset where to read on; empty for the newest entry of each key
+     * @param waitMillis how long the store may wait for something new
+     */
+    record ReadFeed(Feed feed, OptionalLong fromOffset, long waitMillis) implements FleetEffect {}
+
+    /** Announces this member to the others through the store. */
+    record Announce(FleetMember member) implements FleetEffect {}
+
+    /** Removes the announcement of a member. */
+    record Withdraw(String memberId) implements FleetEffect {}
+
+    /** Appends a record with the holder's name to the leadership log if it ends at the offset. */
+    record AppendLeadership(String holder, long atOffset) implements FleetEffect {}
+
+    /** Reads the leadership log from an offset. */
+    record ReadLeadership(long fromOffset) implements FleetEffect {}
+
+    /** Sends a message to another entry. */
+    record SendPeerMessage(String address, FleetMessage message) implements FleetEffect {}
+
+    /**
+     * Sends a request to a target.
+     *
+     * @param deadlineMillis time that is left
+     * @param workspace name of the workspace, which the target is told
+     * @param priority rank at the target
+     * @param resumable whether only whole events may be passed on
+     * @param estimateMillis expected time to the first byte
+     */
+    record StartAttempt(
+            AttemptId attempt,
+            String callerRequestId,
+            TargetDescription target,
+            long deadlineMillis,
+            Optional<String> workspace,
+            int priority,
+            boolean resumable,
+            long estimateMillis)
+            implements FleetEffect {}
+
+    /** Passes the answer of an attempt on to the caller, from its head on. */
+    record RelayAnswer(AttemptId attempt) implements FleetEffect {}
+
+    /** Ends an attempt and closes its connection. */
+    record CancelAttempt(AttemptId attempt) implements FleetEffect {}
+
+    /** Answers a request negatively. */
+    record RefuseRequest(long requestId, String callerRequestId, Refusal refusal, String reason)
+            implements FleetEffect {}
+
+    /** Ends an answer that has begun so that the caller sees that it is not whole. */
+    record BreakAnswer(long requestId, String callerRequestId, String reason) implements FleetEffect {}
+
+    /** Forgets a request that nobody waits for. */
+    record ForgetRequest(long requestId, String callerRequestId) implements FleetEffect {}
+
+    /** Sends an order to an engine. */
+    record SendOrder(EngineOrder order) implements FleetEffect {}
+
+    /** Asks an engine for its state. */
+    record ReadReport(String target, String address) implements FleetEffect {}
+
+    /** Closes idle connections to a target that is gone. */
+    record ForgetTarget(String address) implements FleetEffect {}
+
+    /** Closes the listening sockets. */
+    record StopListening() implements FleetEffect {}
+
+    /** Ends the process. */
+    record Exit() implements FleetEffect {}
+
+    /**
+     * Records what changed in what the entry believes.
+     *
+     * @param fields keys and values by turns
+     */
+    record Note(String event, List<String> fields) implements FleetEffect {
+        static Note of(String event, Object... fields) {
+            return new Note(event, Arrays.stream(fields).map(String::valueOf).toList());
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPhase.java
@@ -0,0 +1,24 @@
+package org.jackdawbeam.logic.fleet;
+
+import org.jackdawbeam.model.request.AttemptId;
+
+/** Where a request stands. */
+public sealed interface FleetPhase {
+
+    /**
+     * Waits for units of its workspace.
+     *
+     * @param round how many entries have been asked before
+     */
+    record AwaitingQuota(int round, long askedAtMillis) implements FleetPhase {}
+
+    /** Waits for an engine that holds its model and adapter. */
+    record AwaitingReplica(long sinceMillis, long wishedAtMillis) implements FleetPhase {}
+
+    /**
+     * Is at a target.
+     *
+     * @param answered whether the head of the answer has been passed on
+     */
+    record Running(AttemptId attempt, String target, boolean answered) implements FleetPhase {}
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -0,0 +1,85 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jackdawbeam.model.fleet.FleetMessage;
+
+/**
+ * The reducer over all events of an entry of a fleet whose targets register themselves in the platform's store. A pure
+ * function: equal states and events give equal results, so that every failure can be replayed from its events.
+ */
+public final class FleetReducer {
+    private final FeedFlow feeds = new FeedFlow();
+    private final QuotaFlow quota = new QuotaFlow();
+    private final LeadershipFlow leadership = new LeadershipFlow();
+    private final PeerFlow peers = new PeerFlow(leadership);
+    private final PlacementFlow placement = new PlacementFlow();
+    private final DispatchFlow dispatch = new DispatchFlow(quota, placement);
+    private final RequestFlow requests = new RequestFlow(quota, dispatch);
+    private final AttemptFlow attempts = new AttemptFlow(dispatch);
+    private final StopFlow stop = new StopFlow(peers);
+
+    /** Returns what the event changes and what is to be done. */
+    public Reduction apply(FleetState state, FleetEvent event) {
+        List<FleetEffect> effects = new ArrayList<>();
+        FleetState next = reduce(state, event, effects);
+        return new Reduction(next, effects);
+    }
+
+    private FleetState reduce(FleetState state, FleetEvent event, List<FleetEffect> effects) {
+        return switch (event) {
+            case FleetEvent.Ticked ticked -> tick(state, ticked.nowMillis(), effects);
+            case FleetEvent.FeedRead read -> {
+                FleetState next = feeds.onRead(state, read, effects);
+                yield dispatch.tick(feeds.tick(next, read.nowMillis(), effects), read.nowMillis(), effects);
+            }
+            case FleetEvent.FeedFailed failed -> feeds.onFailed(state, failed, effects);
+            case FleetEvent.AnnouncementEnded ended -> feeds.onAnnounced(state, ended);
+            case FleetEvent.LeadershipAppended appended -> leadership.onAppended(state, appended, effects);
+            case FleetEvent.LeadershipRead read -> leadership.onRead(state, read, effects);
+            case FleetEvent.LeadershipUnreadable unreadable -> leadership.onUnreadable(state, unreadable);
+            case FleetEvent.PeerReceived received ->
+                onPeer(state, received.nowMillis(), received.message(), effects);
+            case FleetEvent.RequestArrived arrived -> requests.onArrival(state, arrived, effects);
+            case FleetEvent.CallerLeft left -> attempts.onCallerLeft(state, left, effects);
+            case FleetEvent.AttemptAnswered answered -> attempts.onAnswered(state, answered, effects);
+            case FleetEvent.AttemptStreaming streaming -> attempts.onStreaming(state, streaming);
+            case FleetEvent.AttemptCompleted completed -> attempts.onCompleted(state, completed);
+            case FleetEvent.AttemptFailed failed -> attempts.onFailed(state, failed, effects);
+            case FleetEvent.OrderAnswered answered -> {
+                FleetState next = placement.onAnswered(state, answered, effects);
+                next = placement.tick(next, answered.nowMillis(), effects);
+                yield dispatch.tick(next, answered.nowMillis(), effects);
+            }
+            case FleetEvent.ReportRead report -> {
+                FleetState next = placement.onReport(state, report, effects);
+                yield dispatch.tick(next, report.nowMillis(), effects);
+            }
+            case FleetEvent.BoundsChanged changed -> state.with(changed.bounds());
+            case FleetEvent.StopRequested requested -> stop.onRequest(state, requested.nowMillis(), effects);
+        };
+    }
+
+    private FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = feeds.tick(state, nowMillis, effects);
+        next = leadership.tick(next, nowMillis, effects);
+        next = peers.tick(next, nowMillis, effects);
+        next = requests.tick(next, nowMillis, effects);
+        next = dispatch.expire(next, nowMillis, effects);
+        next = placement.tick(next, nowMillis, effects);
+        next = dispatch.tick(next, nowMillis, effects);
+        return stop.tick(next, nowMillis, effects);
+    }
+
+    private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
+        return switch (message) {
+            case FleetMessage.Digest digest -> peers.onDigest(state, nowMillis, digest, effects);
+            case FleetMessage.QuotaQuestion question -> quota.onQuestion(state, nowMillis, question, effects);
+            case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
+            case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
+            case FleetMessage.PlacementWish wish -> placement.onWish(state, nowMillis, wish, effects);
+            case FleetMessage.Residency residency ->
+                dispatch.tick(peers.onResidency(state, residency), nowMillis, effects);
+        };
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -0,0 +1,198 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.jackdawbeam.logic.target.PrefixIndex;
+import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.fleet.TargetLoad;
+import org.jackdawbeam.model.request.AttemptId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * A target as this entry sees it.
+ *
+ * @param adapters adapters by model, as the holder of the placement duty says
+ * @param unloading models that it is about to drop
+ * @param outstanding this entry's requests at the target
+ * @param failureShare moving share of failed attempts, 0 to 1
+ * @param consecutiveFailures attempts that failed since the latest answer
+ * @param avoidedUntilMillis until when other targets are preferred
+ * @param prefixes prompt parts that it has probably cached
+ * @param load what it said of its load with its latest answer
+ * @param goneAtMillis when it counts as gone, if its entry in the list has lapsed
+ */
+public record FleetTarget(
+        TargetDescription description,
+        Map<String, Set<String>> adapters,
+        Set<String> unloading,
+        PMap<AttemptId, Outstanding> outstanding,
+        double failureShare,
+        int consecutiveFailures,
+        long avoidedUntilMillis,
+        PrefixIndex prefixes,
+        Optional<TargetLoad> load,
+        OptionalLong goneAtMillis) {
+    private static final double FAILURE_WEIGHT = 0.15; // about the last seven attempts count
+    private static final long FIRST_AVOIDANCE_MILLIS = 250; // a restart or a lost connection is over by then
+    private static final int MAXIMUM_DOUBLINGS = 3; // 2 s at most, so that a restarted target is found soon
+
+    static FleetTarget of(TargetDescription description) {
+        return new FleetTarget(
+                description,
+                Map.of(),
+                Set.of(),
+                HashTreePMap.empty(),
+                0,
+                0,
+                0,
+                PrefixIndex.empty(),
+                Optional.empty(),
+                OptionalLong.empty());
+    }
+
+    /** Returns the target with news from the list. A restart under the same id clears what was known of it. */
+    FleetTarget described(TargetDescription news) {
+        boolean restarted = news.startedAtMillis() != description.startedAtMillis()
+                || !news.address().equals(description.address());
+        return restarted
+                ? of(news)
+                : new FleetTarget(
+                        news,
+                        adapters,
+                        unloading,
+                        outstanding,
+                        failureShare,
+                        consecutiveFailures,
+                        avoidedUntilMillis,
+                        prefixes,
+                        load,
+                        OptionalLong.empty());
+    }
+
+    FleetTarget lapsing(long goneAt) {
+        return new FleetTarget(
+                description,
+                adapters,
+                unloading,
+                outstanding,
+                failureShare,
+                consecutiveFailures,
+                avoidedUntilMillis,
+                prefixes,
+                load,
+                OptionalLong.of(goneAt));
+    }
+
+    FleetTarget withAdapters(Map<String, Set<String>> held) {
+        return withResidency(description.models(), held, unloading);
+    }
+
+    /** Returns the target with what the holder of the placement duty knows of it. */
+    FleetTarget withResidency(Set<String> models, Map<String, Set<String>> held, Set<String> leavingModels) {
+        return new FleetTarget(
+                description.withModels(models),
+                held,
+                leavingModels,
+                outstanding,
+                failureShare,
+                consecutiveFailures,
+                avoidedUntilMillis,
+                prefixes,
+                load,
+                goneAtMillis);
+    }
+
+    FleetTarget withPrefixes(PrefixIndex index) {
+        return new FleetTarget(
+                description,
+                adapters,
+                unloading,
+                outstanding,
+                failureShare,
+                consecutiveFailures,
+                avoidedUntilMillis,
+                index,
+                load,
+                goneAtMillis);
+    }
+
+    FleetTarget withLoad(Optional<TargetLoad> stated) {
+        return new FleetTarget(
+                description,
+                adapters,
+                unloading,
+                outstanding,
+                failureShare,
+                consecutiveFailures,
+                avoidedUntilMillis,
+                prefixes,
+                stated.isPresent() ? stated : load,
+                goneAtMillis);
+    }
+
+    FleetTarget sent(AttemptId attempt, Outstanding work) {
+        return withOutstanding(outstanding.plus(attempt, work));
+    }
+
+    FleetTarget begun(AttemptId attempt) {
+        Outstanding work = outstanding.get(attempt);
+        return work == null ? this : withOutstanding(outstanding.plus(attempt, work.begun()));
+    }
+
+    FleetTarget released(AttemptId attempt) {
+        return withOutstanding(outstanding.minus(attempt));
+    }
+
+    FleetTarget succeeded() {
+        return withHealth(failureShare * (1 - FAILURE_WEIGHT), 0, avoidedUntilMillis);
+    }
+
+    /** Counts an answer that is a failure; the target is reachable. */
+    FleetTarget answeredWithError() {
+        return withHealth(failureShare * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT, 0, avoidedUntilMillis);
+    }
+
+    /** Counts a failed connection and prefers other targets for a while. */
+    FleetTarget unreachable(long nowMillis) {
+        long avoidance = FIRST_AVOIDANCE_MILLIS << Math.min(consecutiveFailures, MAXIMUM_DOUBLINGS);
+        return withHealth(
+                failureShare * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT, consecutiveFailures + 1, nowMillis + avoidance);
+    }
+
+    /** Returns the tokens that the target has yet to read for this entry. */
+    long unreadTokens() {
+        return outstanding.values().stream()
+                .filter(work -> !work.answering())
+                .mapToLong(Outstanding::unreadTokens)
+                .sum();
+    }
+
+    boolean holds(String model, Optional<String> adapter) {
+        return description.models().contains(model)
+                && !unloading.contains(model)
+                && (adapter.isEmpty()
+                        || adapters.getOrDefault(model, Set.of()).contains(adapter.get()));
+    }
+
+    private FleetTarget withOutstanding(PMap<AttemptId, Outstanding> changed) {
+        return new FleetTarget(
+                description,
+                adapters,
+                unloading,
+                changed,
+                failureShare,
+                consecutiveFailures,
+                avoidedUntilMillis,
+                prefixes,
+                load,
+                goneAtMillis);
+    }
+
+    private FleetTarget withHealth(double share, int failures, long avoidedUntil) {
+        return new FleetTarget(
+                description, adapters, unloading, outstanding, share, failures, avoidedUntil, prefixes, load, goneAtMillis);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -0,0 +1,47 @@
+package org.jackdawbeam.logic.fleet;
+
+/** Time limits of the fleet that do not depend on the deployment. All in milliseconds. */
+final class FleetTimings {
+    /** How long the store may hold a read of the configuration; keys are checked against reads at most this old. */
+    static final long CONFIGURATION_WAIT = 1_000;
+    /** As for the configuration; the removal of a target must be seen well within its drain time of two seconds. */
+    static final long TARGETS_WAIT = 1_000;
+    /** Pause between reads of the target list, so that many changes share one call. */
+    static final long TARGETS_PAUSE = 250;
+    /** Members change rarely; a changed member is heard of through its heartbeats too. */
+    static final long MEMBERS_WAIT = 4_000;
+    /** First pause after a failed call to the store; doubles up to {@link #MAXIMUM_RETRY_PAUSE}. */
+    static final long FIRST_RETRY_PAUSE = 100;
+
+    static final long MAXIMUM_RETRY_PAUSE = 400;
+    /** Part of the time limit on withdrawn keys that is kept for a request on its way to a target. */
+    static final long REVOKE_MARGIN = 600;
+    /** Entries of targets that lapsed during an outage are back within two seconds of its end. */
+    static final long LAPSE_GRACE = 1_900;
+    /** How long after a failed read a removal may be due to the outage. */
+    static final long OUTAGE_MEMORY = 3_000;
+    /** Time between heartbeats with up to {@link #MEMBERS_AT_FULL_RATE} members. */
+    static final long HEARTBEAT = 250;
+    /** Beyond this many members heartbeats become rarer in proportion, which bounds messages per entry. */
+    static final int MEMBERS_AT_FULL_RATE = 16;
+    /** Heartbeats that may be lost before a peer counts as gone. */
+    static final int HEARTBEATS_MISSED = 4;
+    /** Time for another entry to answer about units; far above a round trip, far below an objective. */
+    static final long QUOTA_ANSWER = 150;
+    /** Entries asked for units before the request is refused. */
+    static final int QUOTA_ROUNDS = 3;
+
+    private FleetTimings() {}
+
+    static long heartbeatMillis(int members) {
+        return HEARTBEAT * Math.max(MEMBERS_AT_FULL_RATE, members) / MEMBERS_AT_FULL_RATE;
+    }
+
+    static long silenceMillis(int members) {
+        return HEARTBEATS_MISSED * heartbeatMillis(members);
+    }
+
+    static long retryPauseMillis(int failures) {
+        return Math.min(MAXIMUM_RETRY_PAUSE, FIRST_RETRY_PAUSE << Math.min(failures, 4));
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -0,0 +1,176 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jackdawbeam.model.fleet.FleetMessage.LeadershipClaim;
+
+/**
+ * Decides who holds the placement duty. The holder appends to a log of its own at short intervals, each time on the
+ * condition that nobody else has. Its lease counts from the sending of the latest append that stands. Another entry
+ * takes over only when it has seen no new record for the lease and the gap that engines need between two holders.
+ */
+final class LeadershipFlow {
+    private static final long RENEWAL_MILLIS = 600; // two renewals may fail within a lease
+    private static final long LEASE_MILLIS = 1_800;
+    private static final long CLOCK_MARGIN_MILLIS = 250; // drift of clocks and time on the way to an engine
+    private static final long RANK_DELAY_MILLIS = 120; // keeps candidates from racing for the same offset
+    private static final long RETRY_MILLIS = 250;
+
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership();
+        boolean candidate = state.stop() instanceof StopStage.Serving;
+        if (leadership.asking() || nowMillis < leadership.askAtMillis() || !candidate) {
+            return expire(state, nowMillis, effects);
+        }
+        if (leadership.observedEnd().isEmpty()) {
+            effects.add(new FleetEffect.ReadLeadership(0));
+            return state.with(leadership.asking(true));
+        }
+        if (leadership.fencingToken().isPresent()) {
+            return renew(expire(state, nowMillis, effects), nowMillis, effects);
+        }
+        boolean first = leadership.observedEnd().getAsLong() == 0;
+        long quiet = first ? 0 : LEASE_MILLIS + state.bounds().leadershipGapMillis() + CLOCK_MARGIN_MILLIS;
+        boolean due = nowMillis - leadership.observedAtMillis() >= quiet + rankDelay(state, nowMillis);
+        boolean informed = state.configuration().isPresent();
+        return due && informed ? append(state, effects) : state;
+    }
+
+    FleetState onAppended(FleetState state, FleetEvent.LeadershipAppended event, List<FleetEffect> effects) {
+        long nowMillis = event.nowMillis();
+        Leadership leadership = state.leadership().asking(false);
+        return switch (event.result()) {
+            case FleetEvent.AppendResult.Appended appended -> {
+                long token = leadership.fencingToken().orElse(appended.offset() + 1);
+                if (leadership.fencingToken().isEmpty()) {
+                    effects.add(FleetEffect.Note.of("placement_duty_taken", "fencing_token", token));
+                }
+                FleetState held = state.with(
+                        leadership.holding(token, appended.offset() + 1, event.askedAtMillis(), nowMillis));
+                yield leadership.fencingToken().isEmpty() ? held.with(PlacementState.takenOver(nowMillis)) : held;
+            }
+            case FleetEvent.AppendResult.Conflict conflict when leadership.fencingToken().isPresent() -> {
+                effects.add(new FleetEffect.ReadLeadership(leadership.observedEnd().orElse(0)));
+                yield state.with(leadership.asking(true).uncertain(true));
+            }
+            case FleetEvent.AppendResult.Conflict conflict ->
+                state.with(leadership.observed(conflict.endOffset(), nowMillis));
+            case FleetEvent.AppendResult.Unknown unknown ->
+                state.with(leadership.uncertain(true).askingAt(nowMillis + RETRY_MILLIS));
+        };
+    }
+
+    /** Records of this incarnation are its own appends whose answers were lost; any other record ends the lease. */
+    FleetState onRead(FleetState state, FleetEvent.LeadershipRead event, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership().asking(false);
+        boolean own = event.holders().stream().allMatch(state.self().incarnation()::equals);
+        if (leadership.fencingToken().isPresent() && own) {
+            return state.with(leadership.holding(
+                    leadership.fencingToken().getAsLong(),
+                    event.endOffset(),
+                    leadership.renewedAtMillis(),
+                    event.nowMillis()));
+        }
+        if (leadership.fencingToken().isPresent()) {
+            effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", "another holder", "holders", event.holders()));
+        }
+        return state.with(leadership.observed(event.endOffset(), event.nowMillis()));
+    }
+
+    FleetState onUnreadable(FleetState state, FleetEvent.LeadershipUnreadable event) {
+        return state.with(state.leadership().asking(false).askingAt(event.nowMillis() + RETRY_MILLIS));
+    }
+
+    /** Another entry's proof that it holds the duty saves this entry from reading the log. */
+    FleetState onClaim(FleetState state, long nowMillis, LeadershipClaim claim, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership();
+        boolean news = leadership.observedEnd().isEmpty()
+                || leadership.observedEnd().getAsLong() < claim.endOffset();
+        if (!news) {
+            return state;
+        }
+        if (leadership.fencingToken().isPresent()) {
+            effects.add(FleetEffect.Note.of(
+                    "placement_duty_lost", "reason", "claimed by another", "fencing_token", claim.fencingToken()));
+        }
+        return state.with(leadership.observed(claim.endOffset(), nowMillis));
+    }
+
+    /** Gives the duty up; the successor still waits until the gap between two holders has passed. */
+    static FleetState giveUp(FleetState state, List<FleetEffect> effects) {
+        if (state.leadership().fencingToken().isEmpty()) {
+            return state;
+        }
+        effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", "stop"));
+        Leadership held = state.leadership();
+        return state.with(new Leadership(
+                held.observedEnd(), held.observedAtMillis(), OptionalLong.empty(), 0, held.asking(), held.askAtMillis(),
+                false));
+    }
+
+    static boolean holds(FleetState state, long nowMillis) {
+        return state.leadership().holds(nowMillis, LEASE_MILLIS);
+    }
+
+    static Optional<LeadershipClaim> claim(FleetState state, long nowMillis) {
+        return holds(state, nowMillis)
+                ? Optional.of(new LeadershipClaim(
+                        state.leadership().fencingToken().getAsLong(),
+                        state.leadership().observedEnd().getAsLong()))
+                : Optional.empty();
+    }
+
+    /** Returns the peer that holds the duty, as far as its latest heartbeat tells. */
+    static Optional<FleetPeer> holder(FleetState state, long nowMillis) {
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        return state.peers().values().stream()
+                .filter(peer -> peer.isAlive(nowMillis, silence))
+                .filter(peer -> peer.digest().flatMap(digest -> digest.leadership()).isPresent())
+                .findFirst();
+    }
+
+    private static FleetState renew(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership();
+        boolean due = leadership.uncertain() || nowMillis - leadership.renewedAtMillis() >= RENEWAL_MILLIS;
+        return leadership.fencingToken().isPresent() && due ? append(state, effects) : state;
+    }
+
+    private static FleetState append(FleetState state, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership();
+        effects.add(new FleetEffect.AppendLeadership(
+                state.self().incarnation(), leadership.observedEnd().getAsLong()));
+        return state.with(leadership.asking(true));
+    }
+
+    private static FleetState expire(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Leadership leadership = state.leadership();
+        if (leadership.fencingToken().isEmpty() || holds(state, nowMillis)) {
+            return state;
+        }
+        effects.add(FleetEffect.Note.of(
+                "placement_duty_lost",
+                "reason",
+                "lease expired",
+                "renewed_ago_ms",
+                nowMillis - leadership.renewedAtMillis()));
+        Leadership lost = new Leadership(
+                leadership.observedEnd(),
+                nowMillis,
+                OptionalLong.empty(),
+                0,
+                leadership.asking(),
+                leadership.askAtMillis(),
+                false);
+        return state.with(lost);
+    }
+
+    private static long rankDelay(FleetState state, long nowMillis) {
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        long before = state.peers().values().stream()
+                .filter(peer -> peer.isAlive(nowMillis, silence) && !peer.isLeaving())
+                .filter(peer -> peer.member().id().compareTo(state.self().id()) < 0)
+                .count();
+        return RANK_DELAY_MILLIS * before;
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Outstanding.java
@@ -0,0 +1,20 @@
+package org.jackdawbeam.logic.fleet;
+
+/**
+ * A request that was sent to a target and has not ended.
+ *
+ * @param unreadTokens prompt tokens that the target has to read, without what it probably holds in its cache
+ * @param estimateMillis expected time to the first byte
+ * @param answering whether the answer has begun
+ */
+public record Outstanding(long sentAtMillis, long unreadTokens, long estimateMillis, boolean answering) {
+
+    Outstanding begun() {
+        return new Outstanding(sentAtMillis, unreadTokens, estimateMillis, true);
+    }
+
+    /** Returns by how much the answer is later than expected. */
+    long overdueMillis(long nowMillis, long allowanceMillis) {
+        return answering ? 0 : Math.max(0, nowMillis - sentAtMillis - 2 * estimateMillis - allowanceMillis);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -0,0 +1,166 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.FleetMessage.Digest;
+import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+
+/** Tells the other entries what this one does, and keeps what they tell. */
+final class PeerFlow {
+    /** Longer than a restart takes, so that a restarting member keeps its part of the rates free. */
+    private static final long LOST_MILLIS = 12_000;
+
+    private final LeadershipFlow leadership;
+
+    PeerFlow(LeadershipFlow leadership) {
+        this.leadership = leadership;
+    }
+
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        if (nowMillis - state.sentAtMillis() < FleetTimings.heartbeatMillis(state.memberCount())) {
+            return state;
+        }
+        return sendDigest(state, nowMillis, effects);
+    }
+
+    /** Sends a heartbeat to all members at once. */
+    FleetState sendDigest(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Digest digest = digest(state, nowMillis);
+        if (LeadershipFlow.holds(state, nowMillis)) {
+            withdrawLost(state, nowMillis, effects);
+        }
+        for (FleetPeer peer : state.peers().values()) {
+            effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), digest));
+        }
+        return state.withDigestSentAt(nowMillis);
+    }
+
+    FleetState onDigest(FleetState state, long nowMillis, Digest digest, List<FleetEffect> effects) {
+        if (digest.member().equals(state.self())) {
+            return state;
+        }
+        FleetPeer known = state.peers().get(digest.sender());
+        if (known == null && digest.leaving()) {
+            return state;
+        }
+        boolean incarnationNew = known == null
+                || known.digest().isEmpty()
+                || !known.member().incarnation().equals(digest.member().incarnation());
+        FleetState next = state.withPeers(state.peers().plus(digest.sender(), FleetPeer.heard(digest, nowMillis)));
+        if (incarnationNew) {
+            effects.add(FleetEffect.Note.of("peer_heard", "member", digest.sender()));
+            effects.addAll(residencies(next, digest.member().peerAddress(), nowMillis));
+        }
+        if (digest.leadership().isPresent()) {
+            next = leadership.onClaim(next, nowMillis, digest.leadership().get(), effects);
+        }
+        return next;
+    }
+
+    /** Returns the messages that tell a new peer what the engines hold, if this entry holds the placement duty. */
+    private List<FleetEffect> residencies(FleetState state, String address, long nowMillis) {
+        if (!LeadershipFlow.holds(state, nowMillis)) {
+            return List.of();
+        }
+        List<FleetEffect> messages = new ArrayList<>();
+        for (FleetTarget target : state.targets().values()) {
+            messages.add(new FleetEffect.SendPeerMessage(address, residency(state, target)));
+        }
+        return messages;
+    }
+
+    static FleetMessage residency(FleetState state, FleetTarget target) {
+        return new FleetMessage.Residency(
+                state.self().id(),
+                target.description().id(),
+                target.description().startedAtMillis(),
+                target.description().models(),
+                target.adapters(),
+                target.unloading());
+    }
+
+    FleetState onResidency(FleetState state, FleetMessage.Residency residency) {
+        FleetTarget target = state.targets().get(residency.target());
+        boolean same = target != null && target.description().startedAtMillis() == residency.startedAtMillis();
+        return same ? state.with(target.withResidency(
+                        residency.models(), residency.adaptersByModel(), residency.unloading())) : state;
+    }
+
+    static boolean isReady(FleetState state, long nowMillis) {
+        return state.stop() instanceof StopStage.Serving
+                && state.configuration().isPresent()
+                && FeedFlow.knowsWithdrawals(state, nowMillis);
+    }
+
+    /** Returns the demand of the whole fleet by service and model. */
+    static Map<DemandKey, ModelDemand> fleetDemand(FleetState state, long nowMillis) {
+        Map<DemandKey, ModelDemand> sum = new HashMap<>();
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        ownDemand(state, nowMillis).forEach(demand -> add(sum, demand));
+        state.peers().values().stream()
+                .filter(peer -> peer.isAlive(nowMillis, silence))
+                .flatMap(peer -> peer.digest().stream())
+                .flatMap(digest -> digest.demand().stream())
+                .forEach(demand -> add(sum, demand));
+        return sum;
+    }
+
+    private Digest digest(FleetState state, long nowMillis) {
+        List<TargetWork> work = state.targets().values().stream()
+                .filter(target -> !target.outstanding().isEmpty())
+                .map(target -> new TargetWork(
+                        target.description().id(), target.outstanding().size(), target.unreadTokens()))
+                .toList();
+        return new Digest(
+                state.self().id(),
+                state.self(),
+                isReady(state, nowMillis),
+                !(state.stop() instanceof StopStage.Serving),
+                LeadershipFlow.claim(state, nowMillis),
+                work,
+                ownDemand(state, nowMillis));
+    }
+
+    /** Removes members that have been lost for good; one that is alive announces itself again. */
+    private static void withdrawLost(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        for (FleetPeer peer : state.peers().values()) {
+            if (peer.isSilentSince(nowMillis - LOST_MILLIS)) {
+                effects.add(FleetEffect.Note.of("member_lost", "member", peer.member().id()));
+                effects.add(new FleetEffect.Withdraw(peer.member().id()));
+            }
+        }
+    }
+
+    private static List<ModelDemand> ownDemand(FleetState state, long nowMillis) {
+        Map<DemandKey, Integer> waiting = new HashMap<>();
+        for (FleetRequest request : state.requests().values()) {
+            Optional<String> model = request.call().model();
+            if (request.phase() instanceof FleetPhase.AwaitingReplica && model.isPresent()) {
+                waiting.merge(new DemandKey(request.service(), model.get()), 1, Integer::sum);
+            }
+        }
+        List<ModelDemand> demands = new ArrayList<>();
+        state.demand().at(nowMillis).forEach((key, tokens) -> {
+            DemandKey parsed = DemandKey.parse(key);
+            demands.add(new ModelDemand(
+                    parsed.service(), parsed.model(), tokens, waiting.getOrDefault(parsed, 0)));
+        });
+        return List.copyOf(demands);
+    }
+
+    private static void add(Map<DemandKey, ModelDemand> sum, ModelDemand demand) {
+        sum.merge(
+                new DemandKey(demand.service(), demand.model()),
+                demand,
+                (one, other) -> new ModelDemand(
+                        one.service(),
+                        one.model(),
+                        one.tokensPerSecond() + other.tokensPerSecond(),
+                        one.waiting() + other.waiting()));
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
@@ -0,0 +1,45 @@
+package org.jackdawbeam.logic.fleet;
+
+import org.jackdawbeam.model.fleet.Workspace;
+
+/**
+ * The units of a workspace that this entry gives out.
+ *
+ * @param balance units left; below zero after a request that was larger than what was there
+ * @param accruedAtMillis time up to which units have been accrued
+ */
+public record QuotaBucket(double balance, long accruedAtMillis) {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    // The predecessor may have given out a whole burst just before; the limit's tolerance is a tenth.
+    private static final double FIRST_SHARE_OF_BURST = 0.3;
+
+    static QuotaBucket first(Workspace workspace, long nowMillis) {
+        return new QuotaBucket(workspace.burst() * FIRST_SHARE_OF_BURST, nowMillis);
+    }
+
+    /**
+     * Returns the bucket after accruing up to now.
+     *
+     * @param share part of the workspace's rate that this entry may give out
+     */
+    QuotaBucket accrue(Workspace workspace, double share, long nowMillis) {
+        double accrued =
+                workspace.ratePerSecond() * share * Math.max(0, nowMillis - accruedAtMillis) / MILLIS_PER_SECOND;
+        return new QuotaBucket(Math.min(balance + accrued, workspace.burst() * share), nowMillis);
+    }
+
+    /** Returns whether a request may be admitted. One that is larger than the burst needs a full bucket. */
+    boolean admits(Workspace workspace, double share, double units) {
+        return balance >= Math.min(units, workspace.burst() * share);
+    }
+
+    QuotaBucket spend(double units) {
+        return new QuotaBucket(balance - units, accruedAtMillis);
+    }
+
+    /** Returns how long it takes until the request can be admitted. */
+    long millisUntil(Workspace workspace, double share, double units) {
+        double missing = Math.min(units, workspace.burst() * share) - balance;
+        return (long) Math.ceil(Math.max(0, missing) * MILLIS_PER_SECOND / (workspace.ratePerSecond() * share));
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -0,0 +1,126 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.Workspace;
+
+/**
+ * Holds workspaces to their rates. One entry counts for each workspace: the first in an order of the reachable members
+ * that every entry computes alike. It gives out the part of the rate that its view of the fleet justifies, so that
+ * entries that do not see each other give out the whole rate between them and not more.
+ */
+final class QuotaFlow {
+
+    /** Answer to a request for units. */
+    sealed interface Verdict {
+        /** The units may be used. */
+        record Granted() implements Verdict {}
+
+        /** The workspace is over its rate. */
+        record Denied(long retryAfterMillis) implements Verdict {}
+
+        /** Another entry counts. */
+        record Elsewhere(FleetPeer peer) implements Verdict {}
+    }
+
+    /** Result of asking for units, with the state after it. */
+    record Decision(FleetState state, Verdict verdict) {}
+
+    /** Takes units here, or names the entry that counts them. */
+    Decision take(FleetState state, Workspace workspace, double units, int round, long nowMillis) {
+        List<FleetPeer> ranking = ranking(state, workspace.name(), nowMillis);
+        int ownRank = ranking.size();
+        for (int rank = 0; rank < ranking.size(); rank++) {
+            if (ranking.get(rank).member().equals(state.self())) {
+                ownRank = rank;
+            }
+        }
+        if (round >= ownRank) {
+            return takeHere(state, workspace, units, nowMillis);
+        }
+        return new Decision(state, new Verdict.Elsewhere(ranking.get(round)));
+    }
+
+    FleetState onQuestion(
+            FleetState state, long nowMillis, FleetMessage.QuotaQuestion question, List<FleetEffect> effects) {
+        FleetPeer asker = state.peers().get(question.sender());
+        Optional<Workspace> workspace = state.configuration()
+                .flatMap(known -> Optional.ofNullable(known.workspaces().get(question.workspace())));
+        if (asker == null || workspace.isEmpty()) {
+            return state;
+        }
+        Decision decision = takeHere(state, workspace.get(), question.units(), nowMillis);
+        boolean granted = decision.verdict() instanceof Verdict.Granted;
+        long retryAfter = decision.verdict() instanceof Verdict.Denied denied ? denied.retryAfterMillis() : 0;
+        FleetMessage answer = new FleetMessage.QuotaAnswer(
+                state.self().id(), question.requestId(), question.round(), granted, retryAfter);
+        effects.add(new FleetEffect.SendPeerMessage(asker.member().peerAddress(), answer));
+        return decision.state();
+    }
+
+    FleetState onReturn(FleetState state, FleetMessage.QuotaReturn returned) {
+        QuotaBucket bucket = state.buckets().get(returned.workspace());
+        return bucket == null ? state : state.with(returned.workspace(), bucket.spend(-returned.units()));
+    }
+
+    /** Gives back the units of a request that did not run. */
+    FleetState giveBack(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
+        Optional<Workspace> workspace = request.workspace()
+                .flatMap(name -> state.configuration().map(known -> known.workspaces().get(name)));
+        if (workspace.isEmpty() || !workspace.get().limited()) {
+            return state;
+        }
+        FleetMessage.QuotaReturn returned = new FleetMessage.QuotaReturn(
+                state.self().id(), workspace.get().name(), request.units());
+        FleetPeer first = ranking(state, workspace.get().name(), nowMillis).getFirst();
+        if (first.member().equals(state.self())) {
+            return onReturn(state, returned);
+        }
+        effects.add(new FleetEffect.SendPeerMessage(first.member().peerAddress(), returned));
+        return state;
+    }
+
+    private static Decision takeHere(FleetState state, Workspace workspace, double units, long nowMillis) {
+        double share = (double) reachable(state, nowMillis).size() / state.memberCount();
+        QuotaBucket bucket = Optional.ofNullable(state.buckets().get(workspace.name()))
+                .orElseGet(() -> QuotaBucket.first(workspace, nowMillis))
+                .accrue(workspace, share, nowMillis);
+        if (bucket.admits(workspace, share, units)) {
+            return new Decision(state.with(workspace.name(), bucket.spend(units)), new Verdict.Granted());
+        }
+        long wait = bucket.millisUntil(workspace, share, units);
+        return new Decision(state.with(workspace.name(), bucket), new Verdict.Denied(wait));
+    }
+
+    private static List<FleetPeer> reachable(FleetState state, long nowMillis) {
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        List<FleetPeer> members = new ArrayList<>();
+        members.add(FleetPeer.announced(state.self(), nowMillis));
+        state.peers().values().stream()
+                .filter(peer -> peer.isAlive(nowMillis, silence))
+                .forEach(members::add);
+        return members;
+    }
+
+    /** Returns the reachable members, the one that counts first. A leaving member counts no more. */
+    private static List<FleetPeer> ranking(FleetState state, String workspace, long nowMillis) {
+        boolean selfStays = state.stop() instanceof StopStage.Serving;
+        List<FleetPeer> members = reachable(state, nowMillis);
+        List<FleetPeer> staying = members.stream()
+                .filter(peer -> peer.member().equals(state.self()) ? selfStays : !peer.isLeaving())
+                .sorted(Comparator.comparingLong(
+                        peer -> rank(workspace, peer.member().id())))
+                .toList();
+        return staying.isEmpty() ? members : staying;
+    }
+
+    private static long rank(String workspace, String memberId) {
+        long mixed = (workspace.hashCode() * 0x9E3779B97F4A7C15L) ^ (memberId.hashCode() * 0xC2B2AE3D27D4EB4FL);
+        mixed ^= mixed >>> 29;
+        mixed *= 0xBF58476D1CE4E5B9L;
+        return mixed ^ (mixed >>> 32);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -0,0 +1,197 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.CallerRequest;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.Route;
+import org.jackdawbeam.model.fleet.WeightedService;
+import org.jackdawbeam.model.fleet.Workspace;
+import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.pcollections.HashTreePSet;
+
+/** Takes in requests: route, key, rate. */
+final class RequestFlow {
+    private static final long NOT_READY_RETRY_MILLIS = 200; // another entry can take the request at once
+    private static final long MAXIMUM_RETRY_MILLIS = 2_000;
+
+    private final QuotaFlow quota;
+    private final DispatchFlow dispatch;
+
+    RequestFlow(QuotaFlow quota, DispatchFlow dispatch) {
+        this.quota = quota;
+        this.dispatch = dispatch;
+    }
+
+    FleetState onArrival(FleetState state, FleetEvent.RequestArrived event, List<FleetEffect> effects) {
+        CallerRequest call = event.request();
+        long nowMillis = event.nowMillis();
+        if (!(state.stop() instanceof StopStage.Serving || state.stop() instanceof StopStage.Leaving)) {
+            return refuse(state, event, Refusal.notRun(RefusalCode.NOT_READY, 0), "stopping", effects);
+        }
+        if (state.configuration().isEmpty()) {
+            Refusal refusal = Refusal.notRun(RefusalCode.NOT_READY, NOT_READY_RETRY_MILLIS);
+            return refuse(state, event, refusal, "no configuration yet", effects);
+        }
+        FleetConfiguration configuration = state.configuration().get();
+        Optional<Route> route = configuration.route(call.host(), call.path());
+        if (route.isEmpty()) {
+            String reason = "no route in version " + configuration.version();
+            return refuse(state, event, Refusal.notRun(RefusalCode.ROUTE_UNKNOWN), reason, effects);
+        }
+        boolean keyed = !route.get().open() && !configuration.workspaces().isEmpty();
+        if (keyed && !FeedFlow.knowsWithdrawals(state, nowMillis)) {
+            Refusal refusal = Refusal.notRun(RefusalCode.HOST_ISOLATED, NOT_READY_RETRY_MILLIS);
+            return refuse(state, event, refusal, "configuration not read recently", effects);
+        }
+        Optional<Workspace> workspace =
+                keyed ? call.key().map(key -> configuration.workspaceByKey().get(key)) : Optional.empty();
+        if (keyed && workspace.isEmpty()) {
+            RefusalCode code = call.key().isEmpty() ? RefusalCode.KEY_MISSING : RefusalCode.KEY_UNKNOWN;
+            String reason = "key not in version " + configuration.version();
+            return refuse(state, event, Refusal.notRun(code), reason, effects);
+        }
+        return admit(state, event, route.get(), workspace, effects);
+    }
+
+    private FleetState admit(
+            FleetState state,
+            FleetEvent.RequestArrived event,
+            Route route,
+            Optional<Workspace> workspace,
+            List<FleetEffect> effects) {
+        CallerRequest call = event.request();
+        String service = pick(route, call.callerRequestId());
+        boolean modelUnknown = call.model().isPresent()
+                && state.configuration()
+                        .flatMap(known -> known.engine(service))
+                        .map(engine -> !engine.models().containsKey(call.model().get()))
+                        .orElse(false);
+        if (modelUnknown) {
+            return refuse(state, event, Refusal.notRun(RefusalCode.MODEL_UNKNOWN), "model not configured", effects);
+        }
+        FleetRequest request = new FleetRequest(
+                event.requestId(),
+                call,
+                route,
+                service,
+                workspace.map(Workspace::name),
+                workspace.map(owner -> units(owner, call)).orElse(0.0),
+                workspace.map(owner -> owner.priority().orElse(route.priority())).orElse(route.priority()),
+                event.nowMillis(),
+                event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
+                0,
+                0,
+                HashTreePSet.empty(),
+                false,
+                new FleetPhase.AwaitingQuota(0, event.nowMillis()));
+        FleetState earned = AttemptFlow.earn(state, service, event.nowMillis());
+        FleetState counted = dispatch.countDemand(earned, request, event.nowMillis());
+        if (workspace.isEmpty() || !workspace.get().limited()) {
+            return dispatch.dispatch(counted.with(request), request, event.nowMillis(), effects);
+        }
+        return takeUnits(counted, request, workspace.get(), 0, event.nowMillis(), effects);
+    }
+
+    /** Asks for the units of a request, beginning with the entry of the given rank. */
+    private FleetState takeUnits(
+            FleetState state,
+            FleetRequest request,
+            Workspace workspace,
+            int round,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        QuotaFlow.Decision decision = quota.take(state, workspace, request.units(), round, nowMillis);
+        FleetState next = decision.state().with(request);
+        return switch (decision.verdict()) {
+            case QuotaFlow.Verdict.Granted granted -> dispatch.dispatch(next, request, nowMillis, effects);
+            case QuotaFlow.Verdict.Denied denied -> deny(next, request, denied.retryAfterMillis(), effects);
+            case QuotaFlow.Verdict.Elsewhere elsewhere -> {
+                FleetMessage question = new FleetMessage.QuotaQuestion(
+                        state.self().id(), request.id(), round, workspace.name(), request.units());
+                effects.add(new FleetEffect.SendPeerMessage(
+                        elsewhere.peer().member().peerAddress(), question));
+                yield next.with(request.in(new FleetPhase.AwaitingQuota(round, nowMillis)));
+            }
+        };
+    }
+
+    FleetState onQuotaAnswer(
+            FleetState state, long nowMillis, FleetMessage.QuotaAnswer answer, List<FleetEffect> effects) {
+        FleetRequest request = state.requests().get(answer.requestId());
+        boolean awaited = request != null
+                && request.phase() instanceof FleetPhase.AwaitingQuota awaiting
+                && awaiting.round() == answer.round();
+        if (!awaited) {
+            return state;
+        }
+        return answer.granted()
+                ? dispatch.dispatch(state, request, nowMillis, effects)
+                : deny(state, request, answer.retryAfterMillis(), effects);
+    }
+
+    /** Asks the next entry where the one that counts has not answered. */
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FleetRequest request : state.requests().values()) {
+            if (request.phase() instanceof FleetPhase.AwaitingQuota awaiting
+                    && nowMillis - awaiting.askedAtMillis() >= FleetTimings.QUOTA_ANSWER) {
+                next = askAgain(next, request, awaiting.round() + 1, nowMillis, effects);
+            }
+        }
+        return next;
+    }
+
+    private FleetState askAgain(
+            FleetState state, FleetRequest request, int round, long nowMillis, List<FleetEffect> effects) {
+        Optional<Workspace> workspace = request.workspace()
+                .flatMap(name -> state.configuration().map(known -> known.workspaces().get(name)));
+        if (workspace.isEmpty() || round >= FleetTimings.QUOTA_ROUNDS) {
+            Refusal refusal = Refusal.notRun(RefusalCode.NO_CAPACITY, NOT_READY_RETRY_MILLIS);
+            return dispatch.refuse(state, request, refusal, "no entry counts the workspace", effects);
+        }
+        return takeUnits(state, request, workspace.get(), round, nowMillis, effects);
+    }
+
+    private FleetState deny(
+            FleetState state, FleetRequest request, long retryAfterMillis, List<FleetEffect> effects) {
+        long retryAfter = Math.min(MAXIMUM_RETRY_MILLIS, retryAfterMillis);
+        Refusal refusal = Refusal.notRun(RefusalCode.OVER_RATE, retryAfter);
+        String reason = "workspace over its rate, units " + Math.round(request.units());
+        return dispatch.refuse(state, request, refusal, reason, effects);
+    }
+
+    private static FleetState refuse(
+            FleetState state,
+            FleetEvent.RequestArrived event,
+            Refusal refusal,
+            String reason,
+            List<FleetEffect> effects) {
+        effects.add(new FleetEffect.RefuseRequest(
+                event.requestId(), event.request().callerRequestId(), refusal, reason));
+        return state;
+    }
+
+    private static double units(Workspace workspace, CallerRequest call) {
+        if (!workspace.countsTokens()) {
+            return 1;
+        }
+        return call.countsTokens() ? call.inputTokens() + call.maximumOutputTokens() : workspace.plainTokens();
+    }
+
+    /** Picks a service by weight; the same request always gets the same one. */
+    private static String pick(Route route, String callerRequestId) {
+        double total =
+                route.services().stream().mapToDouble(WeightedService::weight).sum();
+        double point = (callerRequestId.hashCode() * 0x9E3779B97F4A7C15L >>> 11) / (double) (1L << 53) * total;
+        for (WeightedService service : route.services()) {
+            point -= service.weight();
+            if (point < 0) {
+                return service.service();
+            }
+        }
+        return route.services().getLast().service();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -0,0 +1,93 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.jackdawbeam.model.fleet.PromptPart;
+import org.jackdawbeam.model.fleet.TargetLoad;
+
+/** Chooses the target from which the first byte of an answer is expected soonest. */
+final class TargetChooser {
+    private static final double TOKENS_READ_PER_MILLI = 25; // the stated prefill rate of the engines in use
+    private static final double STEP_MILLIS = 10; // one decoding step delays the first token of a new request
+    private static final double BATCH_MILLIS_PER_REQUEST = 0.5; // decoding work that each running request adds
+    private static final double SERVICE_CALL_MILLIS = 80; // typical work of a call to a plain service
+    private static final double OTHER_ZONE_MILLIS = 6; // two crossings of a zone border, and their price
+    private static final double FAILURE_MILLIS = 1_500; // what a failed attempt costs a caller
+    private static final long OVERDUE_ALLOWANCE_MILLIS = 250;
+    private static final double AVOIDED_MILLIS = 10_000; // only if there is nothing else
+
+    /** A target and what is expected of it. */
+    record Choice(FleetTarget target, long unreadTokens, long estimateMillis) {}
+
+    private TargetChooser() {}
+
+    /** Returns the best of the given targets for the request, those that have failed it last. */
+    static Optional<Choice> best(
+            FleetState state, FleetRequest request, List<FleetTarget> candidates, boolean engine, long nowMillis) {
+        return candidates.stream()
+                .map(target -> estimate(state, request, target, engine, nowMillis))
+                .min(Comparator.comparingLong(Choice::estimateMillis));
+    }
+
+    static Choice estimate(
+            FleetState state, FleetRequest request, FleetTarget target, boolean engine, long nowMillis) {
+        String id = target.description().id();
+        long peersUnread = 0;
+        int running = target.outstanding().size();
+        long silence = FleetTimings.silenceMillis(state.memberCount());
+        for (FleetPeer peer : state.peers().values()) {
+            TargetWork work = peer.workByTarget().get(id);
+            if (work != null && peer.isAlive(nowMillis, silence)) {
+                peersUnread += work.unreadTokens();
+                running += work.running();
+            }
+        }
+        long unread = engine ? unreadTokens(request, target) : 0;
+        double millis = engine
+                ? (unread + target.unreadTokens() + peersUnread) / TOKENS_READ_PER_MILLI
+                        + STEP_MILLIS
+                        + running * BATCH_MILLIS_PER_REQUEST
+                : serviceMillis(target, running);
+        millis += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
+        millis += target.failureShare() * FAILURE_MILLIS;
+        millis += overdueMillis(target, nowMillis);
+        millis += target.avoidedUntilMillis() > nowMillis || request.tried().contains(id) ? AVOIDED_MILLIS : 0;
+        return new Choice(target, unread, Math.round(millis));
+    }
+
+    /** Returns the identifiers under which the leading parts of a prompt are remembered. */
+    static List<Long> prefixes(FleetRequest request) {
+        List<Long> hashes = new ArrayList<>();
+        long hash = (request.call().model().orElse("") + "/" + request.call().adapter().orElse("")).hashCode();
+        for (PromptPart part : request.call().prompt()) {
+            hash = hash * 0x9E3779B97F4A7C15L + part.id();
+            hashes.add(hash);
+        }
+        return hashes;
+    }
+
+    private static long unreadTokens(FleetRequest request, FleetTarget target) {
+        int cached = target.prefixes().matchingBlocks(prefixes(request));
+        long tokens = request.call().inputTokens();
+        for (int part = 0; part < cached; part++) {
+            tokens -= request.call().prompt().get(part).tokens();
+        }
+        return Math.max(0, tokens);
+    }
+
+    private static double serviceMillis(FleetTarget target, int running) {
+        int slots = Math.max(1, target.description().slots());
+        int waiting = target.load().map(TargetLoad::waiting).orElse(0);
+        return SERVICE_CALL_MILLIS * (1 + (double) (running + waiting) / slots);
+    }
+
+    private static double overdueMillis(FleetTarget target, long nowMillis) {
+        return target.outstanding().values().stream()
+                .mapToLong(work -> work.overdueMillis(nowMillis, OVERDUE_ALLOWANCE_MILLIS))
+                .max()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/EngineOrder.java
@@ -0,0 +1,19 @@
+package org.jackdawbeam.model.fleet;
+
+import java.util.Optional;
+import org.jackdawbeam.model.log.OrderAction;
+
+/**
+ * An order to an engine.
+ *
+ * @param expectedCount the engine carries out the order only if it has accepted this many before
+ * @param fencingToken grows with each holder of the placement duty
+ */
+public record EngineOrder(
+        String target,
+        String address,
+        OrderAction action,
+        String model,
+        Optional<String> adapter,
+        long expectedCount,
+        long fencingToken) {}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FeedEntry.java
@@ -0,0 +1,23 @@
+package org.jackdawbeam.model.fleet;
+
+/** One entry of a feed of the platform's store. */
+public sealed interface FeedEntry {
+
+    /** A version of the configuration. */
+    record Configuration(FleetConfiguration configuration) implements FeedEntry {}
+
+    /** What a target says of itself. */
+    record Target(TargetDescription description) implements FeedEntry {}
+
+    /** A target has left or lapsed. */
+    record TargetRemoved(String id) implements FeedEntry {}
+
+    /** An entry host announced itself. */
+    record Member(FleetMember member) implements FeedEntry {}
+
+    /** An entry host has left. */
+    record MemberRemoved(String id) implements FeedEntry {}
+
+    /** An entry that cannot be decoded; the others hold. */
+    record Unreadable(String key, String reason) implements FeedEntry {}
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -0,0 +1,81 @@
+package org.jackdawbeam.model.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Messages between the entries of a fleet. Lost messages are not repeated by the transport. */
+public sealed interface FleetMessage {
+
+    /** Returns the id of the sending member. */
+    String sender();
+
+    /**
+     * Heartbeat with what the sender is doing.
+     *
+     * @param ready whether callers may be sent to the sender
+     * @param leaving whether it is about to stop
+     * @param leadership present if the sender holds the placement duty
+     * @param work what the sender has sent to targets
+     * @param demand prompt tokens per second asked for, by service and model
+     */
+    record Digest(
+            String sender,
+            FleetMember member,
+            boolean ready,
+            boolean leaving,
+            Optional<LeadershipClaim> leadership,
+            List<TargetWork> work,
+            List<ModelDemand> demand)
+            implements FleetMessage {}
+
+    /**
+     * Proof that a member holds the placement duty.
+     *
+     * @param fencingToken token of its orders
+     * @param endOffset end of the leadership log after its latest renewal
+     */
+    record LeadershipClaim(long fencingToken, long endOffset) {}
+
+    /**
+     * Requests of one entry at a target.
+     *
+     * @param running requests sent and not ended
+     * @param unreadTokens prompt tokens of requests whose answer has not begun
+     */
+    record TargetWork(String target, int running, long unreadTokens) {}
+
+    /**
+     * Demand for one model.
+     *
+     * @param tokensPerSecond prompt tokens asked for each second
+     * @param waiting requests that wait for a replica
+     */
+    record ModelDemand(String service, String model, double tokensPerSecond, int waiting) {}
+
+    /** Asks the entry that counts a workspace's units for some of them. */
+    record QuotaQuestion(String sender, long requestId, int round, String workspace, double units)
+            implements FleetMessage {}
+
+    /** Answers a question about units. */
+    record QuotaAnswer(String sender, long requestId, int round, boolean granted, long retryAfterMillis)
+            implements FleetMessage {}
+
+    /** Gives back units of a request that did not run. */
+    record QuotaReturn(String sender, String workspace, double units) implements FleetMessage {}
+
+    /** Asks the holder of the placement duty for a replica of a model, or for an adapter on a certain engine. */
+    record PlacementWish(String sender, String service, String model, Optional<String> adapter, Optional<String> target)
+            implements FleetMessage {}
+
+    /** What an engine holds, as the holder of the placement duty knows it. */
+    record Residency(
+            String sender,
+            String target,
+            long startedAtMillis,
+            Set<String> models,
+            Map<String, Set<String>> adaptersByModel,
+            Set<String> unloading)
+            implements FleetMessage {}
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.log.LogRecord;
 import org.jackdawbeam.model.operator.OperatorAnswer;
 import org.jackdawbeam.model.peer.PeerMessage;
@@ -24,6 +25,7 @@
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
         registerHierarchy(LogRecord.class);
         registerHierarchy(PeerMessage.class);
+        registerHierarchy(FleetMessage.class);
         registerHierarchy(OperatorAnswer.class);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryServer.java
@@ -36,7 +36,7 @@
     private final MultiThreadIoEventLoopGroup group;
     private final MonotonicClock clock;
     private final EventLoop loop;
-    private final PeerLinks peers;
+    private final PeerLinks<PeerMessage> peers;
     private final PeerServer peerServer;
     private final HttpServer callerServer;
     private final HttpServer administrationServer;
@@ -75,7 +75,7 @@
         OperatorCalls operators = new OperatorCalls();
         HttpCaller control = new HttpCaller(group);
         Tracing tracing = new Tracing(openTelemetry);
-        this.peers = new PeerLinks(group, messagePack, clock);
+        this.peers = new PeerLinks<>(group, messagePack, clock);
         TargetConnections connections = new TargetConnections(group, clock);
         EntryEffects effects = new EntryEffects(
                 loop,
@@ -89,7 +89,7 @@
                 json,
                 onExit);
         loop.start(effects);
-        this.peerServer = PeerServer.start(group, addresses.peers(), messagePack, this::onPeer);
+        this.peerServer = PeerServer.start(group, addresses.peers(), messagePack, PeerMessage.class, this::onPeer);
         CallerEdge callers = new CallerEdge(loop, requests, clock, options.timings(), json, tracing);
         this.callerServer = HttpServer.start(group, addresses.callers(), limits, callers);
         AdministrationEdge administration =
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -0,0 +1,231 @@
+package org.jackdawbeam.net.fleet;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.model.request.AttemptFailure;
+import org.jackdawbeam.net.target.TargetAddress;
+import org.jackdawbeam.net.target.TargetConnections;
+
+/** One attempt: sends the request to a target and passes the answer on once the reducer has said so. */
+final class AttemptRelay extends SimpleChannelInboundHandler<HttpObject> {
+    private final StartAttempt start;
+    private final RelayedRequest request;
+    private final TargetDialect dialect;
+    private final TargetConnections connections;
+    private final FleetLoop loop;
+    private final Runnable onComplete;
+    private final InetSocketAddress address;
+    private Optional<Channel> channel = Optional.empty();
+    private Optional<EventIds> events = Optional.empty();
+    private HttpHeaders answerHeaders = EmptyHttpHeaders.INSTANCE;
+    private int status;
+    private long idleMillis;
+    private boolean skipping;
+    private boolean relaying;
+    private boolean bodyBegun;
+    private boolean written;
+    private boolean requestFlushed;
+    private boolean ended;
+
+    AttemptRelay(
+            StartAttempt start,
+            RelayedRequest request,
+            TargetDialect dialect,
+            TargetConnections connections,
+            FleetLoop loop,
+            Runnable onComplete) {
+        this.start = start;
+        this.request = request;
+        this.dialect = dialect;
+        this.connections = connections;
+        this.loop = loop;
+        this.onComplete = onComplete;
+        this.address = TargetAddress.parse(start.target().address());
+    }
+
+    void start() {
+        connections.acquire(address, false, this::connected);
+    }
+
+    /** Passes the answer on from its head. */
+    void relay() {
+        relaying = true;
+        if (start.resumable()) {
+            events = Optional.of(new EventIds(channel.orElseThrow().alloc(), request.lastEventId()));
+            answerHeaders.remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
+        if (!request.headSent()) {
+            request.sentHead();
+            request.exchange().startAnswer(status, answerHeaders);
+        }
+    }
+
+    /** Ends the attempt; nothing of it is passed on any more. */
+    void cancel() {
+        if (!ended) {
+            end();
+            channel.ifPresent(Channel::close);
+        }
+    }
+
+    private void connected(Optional<Channel> opened) {
+        if (ended) {
+            opened.ifPresent(open -> connections.release(address, open));
+            return;
+        }
+        if (opened.isEmpty()) {
+            fail(AttemptFailure.CONNECT_FAILED);
+            return;
+        }
+        channel = opened;
+        Channel open = opened.get();
+        open.pipeline().addLast(this);
+        byte[] body = request.exchange().body();
+        HttpHeaders headers = dialect.requestHeaders(request.exchange().headers(), start, request.lastEventId());
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (body.length > 0 || request.exchange().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        written = true;
+        open.writeAndFlush(new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(request.exchange().method()),
+                        request.exchange().uri(),
+                        Unpooled.wrappedBuffer(body),
+                        headers,
+                        EmptyHttpHeaders.INSTANCE))
+                .addListener(done -> requestFlushed = done.isSuccess());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (ended) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail(AttemptFailure.MALFORMED_ANSWER);
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            onHead(response);
+        }
+        if (message instanceof HttpContent content && !ended) {
+            onContent(context, content);
+        }
+    }
+
+    private void onHead(HttpResponse response) {
+        AnswerHead head = dialect.read(response, start.callerRequestId());
+        skipping = head.foreign() || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (skipping) {
+            return;
+        }
+        status = response.status().code();
+        boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (success && !head.sealed()) {
+            fail(AttemptFailure.MALFORMED_ANSWER);
+            return;
+        }
+        idleMillis = head.idleMillis();
+        answerHeaders = dialect.answerHeaders(response.headers());
+        loop.submit(new FleetEvent.AttemptAnswered(
+                loop.nowMillis(), start.attempt(), status, head.notExecuted(), head.load()));
+    }
+
+    private void onContent(ChannelHandlerContext context, HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return;
+        }
+        if (!relaying) {
+            return;
+        }
+        if (content.content().isReadable()) {
+            pass(context, content.content());
+        }
+        if (last) {
+            complete(context);
+        }
+    }
+
+    private void pass(ChannelHandlerContext context, ByteBuf bytes) {
+        if (!bodyBegun) {
+            bodyBegun = true;
+            loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
+        }
+        ByteBuf part = events.map(splitter -> splitter.add(bytes)).orElseGet(bytes::retain);
+        if (!part.isReadable()) {
+            part.release();
+            return;
+        }
+        request.exchange().write(part);
+        events.ifPresent(splitter -> request.passedOn(splitter.lastId()));
+        if (!request.exchange().isWritable()) {
+            Channel paused = context.channel();
+            paused.config().setAutoRead(false);
+            request.exchange().onWritable(() -> paused.config().setAutoRead(true));
+        }
+    }
+
+    private void complete(ChannelHandlerContext context) {
+        if (events.map(EventIds::isMidEvent).orElse(false)) {
+            fail(AttemptFailure.CONNECTION_LOST);
+            return;
+        }
+        end();
+        request.exchange().endStream();
+        context.channel().config().setAutoRead(true);
+        context.pipeline().remove(this);
+        if (requestFlushed) {
+            connections.release(address, context.channel(), idleMillis);
+        } else {
+            context.close();
+        }
+        onComplete.run();
+        loop.submit(new FleetEvent.AttemptCompleted(loop.nowMillis(), start.attempt()));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(AttemptFailure.CONNECTION_LOST);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(AttemptFailure.CONNECTION_LOST);
+    }
+
+    private void fail(AttemptFailure failure) {
+        if (ended) {
+            return;
+        }
+        end();
+        channel.ifPresent(Channel::close);
+        loop.submit(new FleetEvent.AttemptFailed(loop.nowMillis(), start.attempt(), failure, written));
+    }
+
+    private void end() {
+        ended = true;
+        events.ifPresent(EventIds::close);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EventIds.java
@@ -0,0 +1,66 @@
+package org.jackdawbeam.net.fleet;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Cuts an event stream into whole events and remembers the id of the last one. */
+final class EventIds implements AutoCloseable {
+    private static final String ID_FIELD = "id:";
+
+    private final ByteBuf pending;
+    private Optional<String> lastId;
+
+    EventIds(ByteBufAllocator allocator, Optional<String> lastId) {
+        this.pending = allocator.buffer();
+        this.lastId = lastId;
+    }
+
+    /** Adds bytes and returns all events that are whole by now, possibly none; the caller releases the buffer. */
+    ByteBuf add(ByteBuf bytes) {
+        pending.writeBytes(bytes);
+        int length = wholeEvents();
+        ByteBuf whole = pending.readBytes(length);
+        pending.discardReadBytes();
+        rememberId(whole);
+        return whole;
+    }
+
+    /** Returns the id of the last whole event; empty if none had one. */
+    Optional<String> lastId() {
+        return lastId;
+    }
+
+    /** Returns whether a part of an event has come whose end is missing. */
+    boolean isMidEvent() {
+        return pending.isReadable();
+    }
+
+    @Override
+    public void close() {
+        pending.release();
+    }
+
+    private int wholeEvents() {
+        for (int index = pending.writerIndex() - 1; index > pending.readerIndex(); index--) {
+            boolean blankLine = pending.getByte(index) == '\n'
+                    && (pending.getByte(index - 1) == '\n'
+                            || index - 2 >= pending.readerIndex()
+                                    && pending.getByte(index - 1) == '\r'
+                                    && pending.getByte(index - 2) == '\n');
+            if (blankLine) {
+                return index + 1 - pending.readerIndex();
+            }
+        }
+        return 0;
+    }
+
+    private void rememberId(ByteBuf events) {
+        for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n")) {
+            if (line.startsWith(ID_FIELD)) {
+                lastId = Optional.of(line.substring(ID_FIELD.length()).trim());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetEffects.java
@@ -0,0 +1,68 @@
+package org.jackdawbeam.net.fleet;
+
+import java.util.function.Consumer;
+import org.jackdawbeam.logic.fleet.FleetEffect;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.net.peer.PeerLinks;
+import org.jackdawbeam.net.target.TargetAddress;
+import org.jackdawbeam.net.target.TargetConnections;
+
+/** Runs the effects of the reducer. */
+public final class FleetEffects implements Consumer<FleetEffect> {
+    private final FleetLoop loop;
+    private final FleetPlatform platform;
+    private final PeerLinks<FleetMessage> peers;
+    private final RequestRelay relay;
+    private final TargetConnections connections;
+    private final Lifecycle lifecycle;
+
+    /** Ends the process in steps. */
+    public interface Lifecycle {
+        /** Closes the listening sockets of callers. */
+        void stopListening();
+
+        /** Ends the process. */
+        void exit();
+    }
+
+    public FleetEffects(
+            FleetLoop loop,
+            FleetPlatform platform,
+            PeerLinks<FleetMessage> peers,
+            RequestRelay relay,
+            TargetConnections connections,
+            Lifecycle lifecycle) {
+        this.loop = loop;
+        this.platform = platform;
+        this.peers = peers;
+        this.relay = relay;
+        this.connections = connections;
+        this.lifecycle = lifecycle;
+    }
+
+    @Override
+    public void accept(FleetEffect effect) {
+        switch (effect) {
+            case FleetEffect.ReadFeed read -> platform.readFeed(read, loop::submit);
+            case FleetEffect.Announce announce -> platform.announce(announce.member(), loop::submit);
+            case FleetEffect.Withdraw withdraw -> platform.withdraw(withdraw.memberId());
+            case FleetEffect.AppendLeadership append -> platform.appendLeadership(append, loop::submit);
+            case FleetEffect.ReadLeadership read -> platform.readLeadership(read, loop::submit);
+            case FleetEffect.SendPeerMessage send -> peers.send(send.address(), send.message());
+            case FleetEffect.StartAttempt start -> relay.start(start);
+            case FleetEffect.RelayAnswer answer -> relay.relay(answer.attempt());
+            case FleetEffect.CancelAttempt cancel -> relay.cancel(cancel.attempt());
+            case FleetEffect.RefuseRequest refuse -> relay.refuse(refuse.requestId(), refuse.refusal());
+            case FleetEffect.BreakAnswer broken -> relay.breakAnswer(broken.requestId());
+            case FleetEffect.ForgetRequest forget -> relay.forget(forget.requestId());
+            case FleetEffect.SendOrder send -> platform.sendOrder(send.order(), loop::submit);
+            case FleetEffect.ReadReport read -> platform.readReport(read, loop::submit);
+            case FleetEffect.ForgetTarget forget -> connections.forget(TargetAddress.parse(forget.address()));
+            case FleetEffect.StopListening stop -> lifecycle.stopListening();
+            case FleetEffect.Exit exit -> lifecycle.exit();
+            case FleetEffect.Note note -> {
+                // Observers write notes to the log.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -0,0 +1,100 @@
+package org.jackdawbeam.net.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.logic.fleet.FleetEffect;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.logic.fleet.FleetState;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.refusal.Ran;
+import org.tinylog.Logger;
+
+/** Writes one line for each decision that touches a request or changes what the entry believes. */
+public final class FleetLog implements FleetObserver {
+
+    @Override
+    public void onEvent(FleetState state, FleetEvent event) {
+        if (event instanceof FleetEvent.AttemptCompleted completed) {
+            Logger.info("event=attempt_completed request_number={} attempt={}",
+                    completed.attempt().requestId(), completed.attempt().number());
+        }
+    }
+
+    @Override
+    public void onEffect(FleetState state, FleetEvent cause, FleetEffect effect) {
+        switch (effect) {
+            case FleetEffect.StartAttempt start ->
+                Logger.info(
+                        "event=attempt_started request={} request_number={} attempt={} target={} deadline_ms={}"
+                                + " estimate_ms={} priority={} workspace={} configuration={}",
+                        start.callerRequestId(),
+                        start.attempt().requestId(),
+                        start.attempt().number(),
+                        start.target().id(),
+                        start.deadlineMillis(),
+                        start.estimateMillis(),
+                        start.priority(),
+                        start.workspace().orElse("-"),
+                        version(state));
+            case FleetEffect.RefuseRequest refuse ->
+                Logger.info(
+                        "event=request_refused request={} request_number={} code={} ran={} retry_after_ms={}"
+                                + " reason=\"{}\" configuration={}",
+                        refuse.callerRequestId(),
+                        refuse.requestId(),
+                        refuse.refusal().code(),
+                        refuse.refusal().ran() == Ran.NO ? "no" : "unknown",
+                        refuse.refusal().retryAfterMillis().orElse(-1),
+                        refuse.reason(),
+                        version(state));
+            case FleetEffect.BreakAnswer broken ->
+                Logger.info(
+                        "event=answer_broken request={} request_number={} reason=\"{}\"",
+                        broken.callerRequestId(),
+                        broken.requestId(),
+                        broken.reason());
+            case FleetEffect.ForgetRequest forget ->
+                Logger.info(
+                        "event=caller_left request={} request_number={}",
+                        forget.callerRequestId(),
+                        forget.requestId());
+            case FleetEffect.SendOrder send ->
+                Logger.info(
+                        "event=order_sent target={} action={} model={} adapter={} expected_count={} fencing_token={}",
+                        send.order().target(),
+                        send.order().action(),
+                        send.order().model(),
+                        send.order().adapter().orElse("-"),
+                        send.order().expectedCount(),
+                        send.order().fencingToken());
+            case FleetEffect.Note note -> Logger.info("{}", line(note));
+            default -> {
+                // Reads, heartbeats and the like decide nothing.
+            }
+        }
+    }
+
+    @Override
+    public void onFailure(FleetEvent event, RuntimeException failure) {
+        Logger.error(failure, "event=internal_failure while={}", event.getClass().getSimpleName());
+    }
+
+    private static long version(FleetState state) {
+        return Optional.of(state)
+                .flatMap(FleetState::configuration)
+                .map(FleetConfiguration::version)
+                .orElse(-1L);
+    }
+
+    private static String line(FleetEffect.Note note) {
+        StringBuilder line = new StringBuilder("event=").append(note.event());
+        List<String> fields = note.fields();
+        for (int index = 0; index + 1 < fields.size(); index += 2) {
+            String value = fields.get(index + 1);
+            boolean plain = !value.isEmpty() && value.indexOf(' ') < 0;
+            line.append(' ').append(fields.get(index)).append('=');
+            line.append(plain ? value : '"' + value + '"');
+        }
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -0,0 +1,90 @@
+package org.jackdawbeam.net.fleet;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jackdawbeam.logic.fleet.FleetEffect;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.logic.fleet.FleetReducer;
+import org.jackdawbeam.logic.fleet.FleetState;
+import org.jackdawbeam.logic.fleet.Reduction;
+import org.jackdawbeam.model.time.MonotonicClock;
+
+/**
+ * Applies events to the reducer, one at a time on the thread of the connections, and runs the effects in order. An
+ * event that is submitted while another is applied follows after it.
+ */
+public final class FleetLoop {
+    private static final long TICK_MILLIS = 50; // a fifth of the shortest time limit that depends on it
+
+    private final FleetReducer reducer;
+    private final MonotonicClock clock;
+    private final EventLoop thread;
+    private final FleetObserver observer;
+    private final Deque<FleetEvent> pending = new ArrayDeque<>();
+    private Consumer<FleetEffect> runner = effect -> {};
+    private FleetState state;
+    private boolean applying;
+
+    public FleetLoop(
+            FleetReducer reducer, FleetState initial, MonotonicClock clock, EventLoop thread, FleetObserver observer) {
+        this.reducer = reducer;
+        this.state = initial;
+        this.clock = clock;
+        this.thread = thread;
+        this.observer = observer;
+    }
+
+    /** Starts ticking. Effects go to the given runner from now on. */
+    public void start(Consumer<FleetEffect> effectRunner) {
+        thread.execute(() -> runner = effectRunner);
+        thread.scheduleWithFixedDelay(
+                () -> submit(new FleetEvent.Ticked(nowMillis())), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the time that events carry. */
+    public long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    /** Returns the latest state. Call on the thread of the loop. */
+    public FleetState state() {
+        return state;
+    }
+
+    /** Applies an event. From another thread it is applied soon, from the loop's own thread at once. */
+    public void submit(FleetEvent event) {
+        if (!thread.inEventLoop()) {
+            thread.execute(() -> submit(event));
+            return;
+        }
+        pending.add(event);
+        if (applying) {
+            return;
+        }
+        applying = true;
+        try {
+            while (!pending.isEmpty()) {
+                apply(pending.poll());
+            }
+        } finally {
+            applying = false;
+        }
+    }
+
+    private void apply(FleetEvent event) {
+        try {
+            Reduction reduction = reducer.apply(state, event);
+            state = reduction.state();
+            for (FleetEffect effect : reduction.effects()) {
+                observer.onEffect(state, event, effect);
+                runner.accept(effect);
+            }
+            observer.onEvent(state, event);
+        } catch (RuntimeException e) {
+            observer.onFailure(event, e);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RelayedRequest.java
@@ -0,0 +1,44 @@
+package org.jackdawbeam.net.fleet;
+
+import java.util.Optional;
+import org.jackdawbeam.net.http.HttpExchange;
+
+/** A caller's request with what has been passed on of its answer. Used on one thread only. */
+final class RelayedRequest {
+    private final HttpExchange exchange;
+    private Optional<AttemptRelay> attempt = Optional.empty();
+    private Optional<String> lastEventId = Optional.empty();
+    private boolean headSent;
+
+    RelayedRequest(HttpExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    HttpExchange exchange() {
+        return exchange;
+    }
+
+    Optional<AttemptRelay> attempt() {
+        return attempt;
+    }
+
+    void startAttempt(AttemptRelay next) {
+        attempt = Optional.of(next);
+    }
+
+    Optional<String> lastEventId() {
+        return lastEventId;
+    }
+
+    void passedOn(Optional<String> eventId) {
+        lastEventId = eventId;
+    }
+
+    boolean headSent() {
+        return headSent;
+    }
+
+    void sentHead() {
+        headSent = true;
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
@@ -134,6 +134,21 @@
         channel.write(head);
     }
 
+    /** Sends the head of an answer whose body follows part by part; without a length it is sent in chunks. */
+    public void startAnswer(int status, HttpHeaders answerHeaders) {
+        streaming = true;
+        HttpResponseStatus line = HttpResponseStatus.valueOf(status);
+        DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, line, answerHeaders);
+        boolean hasBody = status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+        if (hasBody && !answerHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            HttpUtil.setTransferEncodingChunked(head, true);
+        }
+        if (!staysOpen()) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        channel.write(head);
+    }
+
     /** Sends a part of a streamed answer. Takes over the buffer. */
     public void write(ByteBuf part) {
         channel.writeAndFlush(new DefaultHttpContent(part));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
 
@@ -32,6 +33,19 @@
      */
     public static HttpServer start(
             EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpExchangeHandler handler) {
+        return start(group, address, () -> limits, handler);
+    }
+
+    /**
+     * Starts a server whose limits may change; a connection keeps those that were in force when it was opened.
+     *
+     * @throws JackdawbeamException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be used
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            HttpExchangeHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -40,7 +54,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        initialize(child, limits, handler);
+                        initialize(child, limits.get(), handler);
                     }
                 });
         try {
@@ -55,6 +69,11 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /** Stops accepting connections without waiting; open ones stay. */
+    public void stop() {
+        channel.close();
+    }
+
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/log/BoundedConsoleWriter.java
@@ -0,0 +1,97 @@
+package org.jackdawbeam.net.log;
+
+import java.io.FileOutputStream;
+import java.io.FileDescriptor;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.Writer;
+
+/**
+ * Writes log lines to standard output without ever blocking the thread that logs. Lines that find the buffer full are
+ * left out, and a line says how many.
+ */
+public final class BoundedConsoleWriter implements Writer {
+    private static final int BUFFERED_LINES = 4_096; // about a megabyte
+
+    private static final AtomicLong LEFT_OUT = new AtomicLong();
+
+    private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(BUFFERED_LINES);
+    private final OutputStream output = new FileOutputStream(FileDescriptor.out);
+    private long reportedLeftOut;
+
+    public BoundedConsoleWriter(Map<String, String> properties) {
+        Thread thread = new Thread(this::drain, "log-writer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Returns how many lines have been left out so far. */
+    public static long leftOut() {
+        return LEFT_OUT.get();
+    }
+
+    @Override
+    public Collection<LogEntryValue> getRequiredLogEntryValues() {
+        return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION);
+    }
+
+    @Override
+    public void write(LogEntry entry) {
+        String failure = entry.getException() == null ? "" : " exception=\"" + entry.getException() + '"';
+        String line = "time=" + entry.getTimestamp().toInstant() + " level=" + entry.getLevel() + ' '
+                + entry.getMessage() + failure + '\n';
+        if (!lines.offer(line)) {
+            LEFT_OUT.incrementAndGet();
+        }
+    }
+
+    @Override
+    public void flush() {
+        // The writer's thread writes as soon as it can.
+    }
+
+    @Override
+    public void close() {
+        StringBuilder rest = new StringBuilder();
+        for (String line = lines.poll(); line != null; line = lines.poll()) {
+            rest.append(line);
+        }
+        writeBytes(rest.toString());
+    }
+
+    private void drain() {
+        try {
+            while (true) {
+                StringBuilder batch = new StringBuilder(lines.take());
+                for (String line = lines.poll(); line != null; line = lines.poll()) {
+                    batch.append(line);
+                }
+                long leftOut = LEFT_OUT.get();
+                if (leftOut > reportedLeftOut) {
+                    batch.append("level=WARN event=log_lines_left_out total=").append(leftOut).append('\n');
+                    reportedLeftOut = leftOut;
+                }
+                writeBytes(batch.toString());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void writeBytes(String text) {
+        try {
+            output.write(text.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            LEFT_OUT.incrementAndGet(); // nobody reads standard output any more; there is no other place to say so
+        }
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerLinks.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerLinks.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
-import org.jackdawbeam.model.peer.PeerMessage;
 import org.jackdawbeam.model.time.MonotonicClock;
 import org.jackdawbeam.net.codec.MessageMapper;
 import org.jackdawbeam.net.target.TargetAddress;
@@ -21,8 +20,10 @@
  * Sends messages to other entries, over one connection for each. Messages that cannot be sent are dropped. A connection
  * over which nothing is answered for a while is closed and a new one is opened, because something on the way may have
  * lost track of it.
+ *
+ * @param <M> type of the messages
  */
-public final class PeerLinks implements AutoCloseable {
+public final class PeerLinks<M> implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long SILENCE_MILLIS = 2_000;
 
@@ -45,7 +46,7 @@
     }
 
     /** Sends a message if a connection is open, and opens one otherwise. */
-    public void send(String address, PeerMessage message) {
+    public void send(String address, M message) {
         Link link = links.computeIfAbsent(address, key -> new Link());
         synchronized (link) {
             closeIfSilent(link);
@@ -92,7 +93,7 @@
         }
     }
 
-    private void connect(String address, Link link, PeerMessage first) {
+    private void connect(String address, Link link, M first) {
         link.connecting = true;
         Bootstrap bootstrap = new Bootstrap()
                 .group(group)
@@ -110,7 +111,7 @@
                 .addListener(done -> connected(link, (ChannelFuture) done, first));
     }
 
-    private void connected(Link link, ChannelFuture future, PeerMessage first) {
+    private void connected(Link link, ChannelFuture future, M first) {
         synchronized (link) {
             link.connecting = false;
             if (future.isSuccess()) {
@@ -121,7 +122,7 @@
         }
     }
 
-    private void write(Channel channel, PeerMessage message) {
+    private void write(Channel channel, M message) {
         if (!channel.isWritable()) {
             return;
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
@@ -16,7 +16,6 @@
 import java.util.function.Consumer;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
-import org.jackdawbeam.model.peer.PeerMessage;
 import org.jackdawbeam.net.codec.MessageMapper;
 
 /** Receives messages from other entries. A malformed frame ends its connection and nothing else. */
@@ -34,8 +33,12 @@
      *
      * @throws JackdawbeamException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be used
      */
-    public static PeerServer start(
-            EventLoopGroup group, InetSocketAddress address, MessageMapper mapper, Consumer<PeerMessage> receiver) {
+    public static <M> PeerServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            MessageMapper mapper,
+            Class<M> messageType,
+            Consumer<M> receiver) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -44,7 +47,7 @@
                     protected void initChannel(SocketChannel child) {
                         child.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS));
                         PeerFrames.addTo(child.pipeline());
-                        child.pipeline().addLast(new Receiver(mapper, receiver));
+                        child.pipeline().addLast(new Receiver<>(mapper, messageType, receiver));
                     }
                 });
         try {
@@ -64,18 +67,20 @@
         channel.close().syncUninterruptibly();
     }
 
-    private static final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final class Receiver<M> extends SimpleChannelInboundHandler<ByteBuf> {
         private final MessageMapper mapper;
-        private final Consumer<PeerMessage> consumer;
+        private final Class<M> messageType;
+        private final Consumer<M> consumer;
 
-        Receiver(MessageMapper mapper, Consumer<PeerMessage> consumer) {
+        Receiver(MessageMapper mapper, Class<M> messageType, Consumer<M> consumer) {
             this.mapper = mapper;
+            this.messageType = messageType;
             this.consumer = consumer;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-            consumer.accept(mapper.read(ByteBufUtil.getBytes(frame), PeerMessage.class));
+            consumer.accept(mapper.read(ByteBufUtil.getBytes(frame), messageType));
         }
 
         @Override
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -3,12 +3,15 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -26,12 +29,13 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int MAXIMUM_IDLE_PER_TARGET = 64;
     private static final long IDLE_MILLIS = 3_000;
+    private static final String IDLE_GUARD = "idle-guard";
 
     private final EventLoopGroup group;
     private final MonotonicClock clock;
     private final Map<InetSocketAddress, Deque<IdleChannel>> idle = new ConcurrentHashMap<>();
 
-    private record IdleChannel(Channel channel, long sinceMillis) {}
+    private record IdleChannel(Channel channel, long untilMillis) {}
 
     public TargetConnections(EventLoopGroup group, MonotonicClock clock) {
         this.group = group;
@@ -39,7 +43,7 @@
     }
 
     /** Provides a connection, or nothing if none can be opened. */
-    void acquire(InetSocketAddress address, boolean fresh, Consumer<Optional<Channel>> receiver) {
+    public void acquire(InetSocketAddress address, boolean fresh, Consumer<Optional<Channel>> receiver) {
         Optional<Channel> pooled = fresh ? Optional.empty() : takeIdle(address);
         if (pooled.isPresent()) {
             receiver.accept(pooled);
@@ -52,11 +56,25 @@
     }
 
     /** Takes back a connection after a clean end. */
-    void release(InetSocketAddress address, Channel channel) {
+    public void release(InetSocketAddress address, Channel channel) {
+        release(address, channel, IDLE_MILLIS);
+    }
+
+    /**
+     * Takes back a connection after a clean end.
+     *
+     * @param idleMillis how long it may be reused
+     */
+    public void release(InetSocketAddress address, Channel channel, long idleMillis) {
+        if (idleMillis <= 0) {
+            channel.close();
+            return;
+        }
+        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
         Deque<IdleChannel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
             if (channels.size() < MAXIMUM_IDLE_PER_TARGET) {
-                channels.addLast(new IdleChannel(channel, clock.nowMillis()));
+                channels.addLast(new IdleChannel(channel, clock.nowMillis() + idleMillis));
                 return;
             }
         }
@@ -71,8 +89,9 @@
         synchronized (channels) {
             IdleChannel candidate = channels.pollLast();
             while (candidate != null) {
-                boolean old = clock.nowMillis() - candidate.sinceMillis() > IDLE_MILLIS;
+                boolean old = clock.nowMillis() > candidate.untilMillis();
                 if (candidate.channel().isActive() && !old) {
+                    candidate.channel().pipeline().remove(IDLE_GUARD);
                     return Optional.of(candidate.channel());
                 }
                 candidate.channel().close();
@@ -82,6 +101,28 @@
         return Optional.empty();
     }
 
+    /** Closes the idle connections to a target that is gone. */
+    public void forget(InetSocketAddress address) {
+        Deque<IdleChannel> channels = idle.remove(address);
+        if (channels != null) {
+            channels.forEach(candidate -> candidate.channel().close());
+        }
+    }
+
+    /** Closes an idle connection on which something arrives, because it belongs to no request. */
+    private static final class IdleGuard extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            ReferenceCountUtil.release(message);
+            context.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
     private ChannelFuture connect(InetSocketAddress address) {
         return new Bootstrap()
                 .group(group)
