--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -44,7 +44,10 @@
         }
         boolean failed = event.status() >= SERVER_ERRORS;
         FleetState judged = withTarget(
-                loaded, id, target -> failed ? target.answeredWithError() : target.succeeded().begun(event.attempt()));
+                loaded,
+                id,
+                target ->
+                        failed ? target.answeredWithError() : target.succeeded().begun(event.attempt()));
         boolean resumes = request.executions() > 0 && request.route().kind() == RouteKind.STREAMING;
         if (failed && (mayRepeat(judged, request, event.nowMillis()) || resumes)
                 || PROMISES_OF_NO_EXECUTION.contains(event.status())) {
@@ -79,12 +82,10 @@
             return state;
         }
         String id = ((FleetPhase.Running) found.get().phase()).target();
-        boolean connection = event.failure() == AttemptFailure.CONNECT_FAILED
-                || event.failure() == AttemptFailure.CONNECTION_LOST;
+        boolean connection =
+                event.failure() == AttemptFailure.CONNECT_FAILED || event.failure() == AttemptFailure.CONNECTION_LOST;
         FleetState judged = withTarget(
-                state,
-                id,
-                target -> connection ? target.unreachable(event.nowMillis()) : target.answeredWithError());
+                state, id, target -> connection ? target.unreachable(event.nowMillis()) : target.answeredWithError());
         return again(judged, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
     }
 
@@ -95,8 +96,8 @@
             return state;
         }
         return switch (request.phase()) {
-            case FleetPhase.Running running when request.route().kind() == RouteKind.UNSAFE ->
-                state.with(request.withoutCaller());
+            case FleetPhase.Running running
+            when request.route().kind() == RouteKind.UNSAFE -> state.with(request.withoutCaller());
             case FleetPhase.Running running -> {
                 effects.add(new FleetEffect.CancelAttempt(running.attempt()));
                 effects.add(new FleetEffect.ForgetRequest(
@@ -125,7 +126,8 @@
         FleetRequest request = adapterMissing ? before : before.failedAt(target, mayHaveRun);
         FleetState released = DispatchFlow.withoutOutstanding(state, running).with(request);
         if (request.callerLeft()) {
-            effects.add(new FleetEffect.ForgetRequest(request.id(), request.call().callerRequestId()));
+            effects.add(
+                    new FleetEffect.ForgetRequest(request.id(), request.call().callerRequestId()));
             return released.without(request);
         }
         effects.add(FleetEffect.Note.of(
@@ -174,7 +176,8 @@
 
     private static FleetState spend(FleetState state, FleetRequest request, long nowMillis) {
         return state.with(
-                request.service(), allowance(state, request.service(), nowMillis).spend());
+                request.service(),
+                allowance(state, request.service(), nowMillis).spend());
     }
 
     private static RetryAllowance allowance(FleetState state, String service, long nowMillis) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -41,7 +41,8 @@
     FleetState dispatch(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
         Optional<String> obstacle = obstacle(state, request, nowMillis);
         if (obstacle.isPresent()) {
-            RefusalCode code = obstacle.get().equals(KEY_WITHDRAWN) ? RefusalCode.KEY_WITHDRAWN : RefusalCode.HOST_ISOLATED;
+            RefusalCode code =
+                    obstacle.get().equals(KEY_WITHDRAWN) ? RefusalCode.KEY_WITHDRAWN : RefusalCode.HOST_ISOLATED;
             return refuse(state, request, Refusal.notRun(code, RETRY_MILLIS), obstacle.get(), effects);
         }
         boolean engine = request.call().model().isPresent()
@@ -111,7 +112,12 @@
     }
 
     FleetState refuseUnserved(
-            FleetState state, FleetRequest request, RefusalCode code, String reason, long nowMillis, List<FleetEffect> effects) {
+            FleetState state,
+            FleetRequest request,
+            RefusalCode code,
+            String reason,
+            long nowMillis,
+            List<FleetEffect> effects) {
         FleetState next = request.hasNotRun() ? quota.giveBack(state, request, nowMillis, effects) : state;
         return refuse(next, request, refusal(request, code, RETRY_MILLIS), reason, effects);
     }
@@ -131,7 +137,8 @@
         }
         String owner = request.call()
                 .key()
-                .flatMap(key -> state.configuration().map(known -> known.workspaceByKey().get(key)))
+                .flatMap(key -> state.configuration()
+                        .map(known -> known.workspaceByKey().get(key)))
                 .map(workspace -> workspace.name())
                 .orElse("");
         return owner.equals(request.workspace().get()) ? Optional.empty() : Optional.of(KEY_WITHDRAWN);
@@ -175,7 +182,8 @@
             return state;
         }
         String model = request.call().model().orElseThrow();
-        Optional<String> engine = request.call().adapter().flatMap(adapter -> homeOf(state, request, usable, nowMillis));
+        Optional<String> engine =
+                request.call().adapter().flatMap(adapter -> homeOf(state, request, usable, nowMillis));
         FleetMessage.PlacementWish wish = new FleetMessage.PlacementWish(
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
         FleetState next = state.with(request.in(new FleetPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
@@ -200,10 +208,13 @@
         return usable.stream()
                 .filter(target -> target.holds(model, Optional.empty()))
                 .min(Comparator.comparingLong(target -> {
-                    int held = target.adapters().values().stream().mapToInt(Set::size).sum();
+                    int held = target.adapters().values().stream()
+                            .mapToInt(Set::size)
+                            .sum();
                     long crowding = held < places ? 0 : 20;
                     long preference = Math.floorMod((target.description().id() + adapter).hashCode(), 16);
-                    return TargetChooser.estimate(state, request, target, true, nowMillis).estimateMillis()
+                    return TargetChooser.estimate(state, request, target, true, nowMillis)
+                                    .estimateMillis()
                             + crowding
                             + preference;
                 }))
@@ -226,6 +237,8 @@
     }
 
     private static Refusal refusal(FleetRequest request, RefusalCode code, long retryAfterMillis) {
-        return request.hasNotRun() ? Refusal.notRun(code, retryAfterMillis) : Refusal.unknown(RefusalCode.TARGET_FAILED);
+        return request.hasNotRun()
+                ? Refusal.notRun(code, retryAfterMillis)
+                : Refusal.unknown(RefusalCode.TARGET_FAILED);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
@@ -1,7 +1,9 @@
 package org.jackdawbeam.logic.fleet;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -16,7 +18,7 @@
  * @param changedAtMillis when that change was accepted
  * @param reportAsked whether a report is under way
  * @param reportAtMillis when to ask for a report
- * @param adapterWishedAt when each adapter was last wished for, by model and adapter
+ * @param adapters adapters that it holds or that are on their way to it
  */
 public record EngineDuty(
         long startedAtMillis,
@@ -26,7 +28,7 @@
         long changedAtMillis,
         boolean reportAsked,
         long reportAtMillis,
-        PMap<String, Long> adapterWishedAt) {
+        PMap<AdapterKey, AdapterPlace> adapters) {
 
     static EngineDuty unknown(long startedAtMillis) {
         return new EngineDuty(
@@ -40,14 +42,9 @@
                 HashTreePMap.empty());
     }
 
-    /** Returns whether an adapter may be ordered: nothing is under way and the count is known. */
-    boolean takesOrders() {
-        return orderCount.isPresent() && underWay.isEmpty();
-    }
-
-    /** Returns whether a change of models may be ordered. */
+    /** Returns whether an order may be sent: an engine carries out one at a time and rejects others meanwhile. */
     boolean isIdle() {
-        return takesOrders() && changing.isEmpty();
+        return orderCount.isPresent() && underWay.isEmpty() && changing.isEmpty();
     }
 
     EngineDuty ordered(EngineOrder order) {
@@ -59,47 +56,50 @@
                 changedAtMillis,
                 reportAsked,
                 reportAtMillis,
-                adapterWishedAt);
+                adapters);
     }
 
     /** Returns the duty after an answer; the order counts if the engine accepted it. */
     EngineDuty answered(OptionalLong count, long reportAt) {
         return new EngineDuty(
-                startedAtMillis,
-                count,
-                Optional.empty(),
-                changing,
-                changedAtMillis,
-                reportAsked,
-                reportAt,
-                adapterWishedAt);
+                startedAtMillis, count, Optional.empty(), changing, changedAtMillis, reportAsked, reportAt, adapters);
     }
 
     EngineDuty changing(Optional<String> model, long nowMillis, long reportAt) {
-        return new EngineDuty(
-                startedAtMillis, orderCount, underWay, model, nowMillis, reportAsked, reportAt, adapterWishedAt);
+        return new EngineDuty(startedAtMillis, orderCount, underWay, model, nowMillis, reportAsked, reportAt, adapters);
     }
 
     EngineDuty askedForReport() {
         return new EngineDuty(
-                startedAtMillis, orderCount, underWay, changing, changedAtMillis, true, reportAtMillis,
-                adapterWishedAt);
+                startedAtMillis, orderCount, underWay, changing, changedAtMillis, true, reportAtMillis, adapters);
     }
 
     EngineDuty reported(OptionalLong count, Optional<String> stillChanging, long reportAt) {
         return new EngineDuty(
-                startedAtMillis, count, underWay, stillChanging, changedAtMillis, false, reportAt, adapterWishedAt);
+                startedAtMillis, count, underWay, stillChanging, changedAtMillis, false, reportAt, adapters);
+    }
+
+    /** Returns the duty after requests have used adapters, each given as model and adapter with a slash between. */
+    EngineDuty wanted(Set<String> used, long nowMillis) {
+        PMap<AdapterKey, AdapterPlace> noted = adapters;
+        for (Map.Entry<AdapterKey, AdapterPlace> held : adapters.entrySet()) {
+            boolean isUsed =
+                    used.contains(held.getKey().model() + "/" + held.getKey().adapter());
+            noted = isUsed ? noted.plus(held.getKey(), held.getValue().wanted(nowMillis)) : noted;
+        }
+        return withAdapters(noted);
     }
 
-    EngineDuty wished(String adapterKey, long nowMillis) {
+    EngineDuty with(AdapterKey key, AdapterPlace place) {
+        return withAdapters(adapters.plus(key, place));
+    }
+
+    EngineDuty without(AdapterKey key) {
+        return withAdapters(adapters.minus(key));
+    }
+
+    EngineDuty withAdapters(PMap<AdapterKey, AdapterPlace> held) {
         return new EngineDuty(
-                startedAtMillis,
-                orderCount,
-                underWay,
-                changing,
-                changedAtMillis,
-                reportAsked,
-                reportAtMillis,
-                adapterWishedAt.plus(adapterKey, nowMillis));
+                startedAtMillis, orderCount, underWay, changing, changedAtMillis, reportAsked, reportAtMillis, held);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -34,8 +34,7 @@
         long againAt = event.feed() == Feed.TARGETS
                 ? Math.max(event.nowMillis(), event.askedAtMillis() + FleetTimings.TARGETS_PAUSE)
                 : event.nowMillis();
-        FleetState next =
-                state.with(event.feed(), before.answered(event.askedAtMillis(), event.nextOffset(), againAt));
+        FleetState next = state.with(event.feed(), before.answered(event.askedAtMillis(), event.nextOffset(), againAt));
         if (event.newest() && event.feed() == Feed.TARGETS) {
             next = removeMissing(next, event, effects);
         }
@@ -96,8 +95,8 @@
             case FeedEntry.Member news -> join(state, news.member(), nowMillis, effects);
             case FeedEntry.MemberRemoved removed -> leave(state, removed.id(), effects);
             case FeedEntry.Unreadable unreadable -> {
-                effects.add(FleetEffect.Note.of(
-                        "entry_ignored", "key", unreadable.key(), "reason", unreadable.reason()));
+                effects.add(
+                        FleetEffect.Note.of("entry_ignored", "key", unreadable.key(), "reason", unreadable.reason()));
                 yield state;
             }
         };
@@ -171,7 +170,8 @@
         FleetState next = state;
         for (Map.Entry<String, FleetTarget> entry : state.targets().entrySet()) {
             FleetTarget target = entry.getValue();
-            if (target.goneAtMillis().isPresent() && nowMillis >= target.goneAtMillis().getAsLong()) {
+            if (target.goneAtMillis().isPresent()
+                    && nowMillis >= target.goneAtMillis().getAsLong()) {
                 next = next.withTargets(next.targets().minus(entry.getKey()))
                         .with(next.placement().without(entry.getKey()));
                 effects.add(new FleetEffect.ForgetTarget(target.description().address()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
@@ -33,19 +33,19 @@
     FeedState answered(long askedAt, long offset, long againAtMillis) {
         long fresh = Math.max(askedAt, freshAtMillis.orElse(Long.MIN_VALUE));
         return new FeedState(
-                OptionalLong.of(offset), false, askedAtMillis, OptionalLong.of(fresh), failedAtMillis, 0, againAtMillis);
+                OptionalLong.of(offset),
+                false,
+                askedAtMillis,
+                OptionalLong.of(fresh),
+                failedAtMillis,
+                0,
+                againAtMillis);
     }
 
     FeedState failed(long nowMillis, boolean historyGone, long againAtMillis) {
         OptionalLong next = historyGone ? OptionalLong.empty() : nextOffset;
         return new FeedState(
-                next,
-                false,
-                askedAtMillis,
-                freshAtMillis,
-                OptionalLong.of(nowMillis),
-                failures + 1,
-                againAtMillis);
+                next, false, askedAtMillis, freshAtMillis, OptionalLong.of(nowMillis), failures + 1, againAtMillis);
     }
 
     /** Returns whether the latest answered read was sent less than the given time ago. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -74,6 +74,9 @@
     /** Forgets a request that nobody waits for. */
     record ForgetRequest(long requestId, String callerRequestId) implements FleetEffect {}
 
+    /** Asks for a {@link FleetEvent.Woken} after a delay. */
+    record WakeAfter(long delayMillis) implements FleetEffect {}
+
     /** Sends an order to an engine. */
     record SendOrder(EngineOrder order) implements FleetEffect {}
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -23,6 +23,9 @@
     /** Time has passed. */
     record Ticked(long nowMillis) implements FleetEvent {}
 
+    /** A delay that was asked for has passed. */
+    record Woken(long nowMillis) implements FleetEvent {}
+
     /**
      * The store answered a read of a feed.
      *
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -29,6 +29,10 @@
     private FleetState reduce(FleetState state, FleetEvent event, List<FleetEffect> effects) {
         return switch (event) {
             case FleetEvent.Ticked ticked -> tick(state, ticked.nowMillis(), effects);
+            case FleetEvent.Woken woken -> {
+                FleetState next = placement.tick(state, woken.nowMillis(), effects);
+                yield dispatch.tick(next, woken.nowMillis(), effects);
+            }
             case FleetEvent.FeedRead read -> {
                 FleetState next = feeds.onRead(state, read, effects);
                 yield dispatch.tick(feeds.tick(next, read.nowMillis(), effects), read.nowMillis(), effects);
@@ -38,8 +42,7 @@
             case FleetEvent.LeadershipAppended appended -> leadership.onAppended(state, appended, effects);
             case FleetEvent.LeadershipRead read -> leadership.onRead(state, read, effects);
             case FleetEvent.LeadershipUnreadable unreadable -> leadership.onUnreadable(state, unreadable);
-            case FleetEvent.PeerReceived received ->
-                onPeer(state, received.nowMillis(), received.message(), effects);
+            case FleetEvent.PeerReceived received -> onPeer(state, received.nowMillis(), received.message(), effects);
             case FleetEvent.RequestArrived arrived -> requests.onArrival(state, arrived, effects);
             case FleetEvent.CallerLeft left -> attempts.onCallerLeft(state, left, effects);
             case FleetEvent.AttemptAnswered answered -> attempts.onAnswered(state, answered, effects);
@@ -73,7 +76,8 @@
 
     private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
         return switch (message) {
-            case FleetMessage.Digest digest -> peers.onDigest(state, nowMillis, digest, effects);
+            case FleetMessage.Digest digest ->
+                placement.noteUse(peers.onDigest(state, nowMillis, digest, effects), nowMillis, digest.work());
             case FleetMessage.QuotaQuestion question -> quota.onQuestion(state, nowMillis, question, effects);
             case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -63,26 +63,78 @@
 
     FleetState with(FleetBounds changed) {
         return new FleetState(
-                self, changed, feeds, configuration, targets, peers, requests, buckets, retries, leadership, placement,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                changed,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(Feed feed, FeedState changed) {
         return new FleetState(
-                self, bounds, feeds.plus(feed, changed), configuration, targets, peers, requests, buckets, retries,
-                leadership, placement, demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds.plus(feed, changed),
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(FleetConfiguration changed) {
         return new FleetState(
-                self, bounds, feeds, Optional.of(changed), targets, peers, requests, buckets, retries, leadership,
-                placement, demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                Optional.of(changed),
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState withTargets(PMap<String, FleetTarget> changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, changed, peers, requests, buckets, retries, leadership, placement,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                changed,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(FleetTarget target) {
@@ -91,14 +143,40 @@
 
     FleetState withPeers(PMap<String, FleetPeer> changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, changed, requests, buckets, retries, leadership, placement,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                changed,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, changed, buckets, retries, leadership, placement,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                changed,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(FleetRequest request) {
@@ -111,50 +189,154 @@
 
     FleetState with(String workspace, QuotaBucket bucket) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets.plus(workspace, bucket), retries,
-                leadership, placement, demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets.plus(workspace, bucket),
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(String service, RetryAllowance allowance) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets,
-                retries.plus(service, allowance), leadership, placement, demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries.plus(service, allowance),
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(Leadership changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, changed, placement,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                changed,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(PlacementState changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, leadership, changed,
-                demand, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                changed,
+                demand,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(Demand changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, leadership, placement,
-                changed, announcement, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                changed,
+                announcement,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(Announcement changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, leadership, placement,
-                demand, changed, stop, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                changed,
+                stop,
+                sentAtMillis);
     }
 
     FleetState with(StopStage changed) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, leadership, placement,
-                demand, announcement, changed, sentAtMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                changed,
+                sentAtMillis);
     }
 
     FleetState withDigestSentAt(long nowMillis) {
         return new FleetState(
-                self, bounds, feeds, configuration, targets, peers, requests, buckets, retries, leadership, placement,
-                demand, announcement, stop, nowMillis);
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                nowMillis);
     }
 
     FeedState feed(Feed feed) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -173,8 +173,7 @@
     boolean holds(String model, Optional<String> adapter) {
         return description.models().contains(model)
                 && !unloading.contains(model)
-                && (adapter.isEmpty()
-                        || adapters.getOrDefault(model, Set.of()).contains(adapter.get()));
+                && (adapter.isEmpty() || adapters.getOrDefault(model, Set.of()).contains(adapter.get()));
     }
 
     private FleetTarget withOutstanding(PMap<AttemptId, Outstanding> changed) {
@@ -193,6 +192,15 @@
 
     private FleetTarget withHealth(double share, int failures, long avoidedUntil) {
         return new FleetTarget(
-                description, adapters, unloading, outstanding, share, failures, avoidedUntil, prefixes, load, goneAtMillis);
+                description,
+                adapters,
+                unloading,
+                outstanding,
+                share,
+                failures,
+                avoidedUntil,
+                prefixes,
+                load,
+                goneAtMillis);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -3,13 +3,13 @@
 /** Time limits of the fleet that do not depend on the deployment. All in milliseconds. */
 final class FleetTimings {
     /** How long the store may hold a read of the configuration; keys are checked against reads at most this old. */
-    static final long CONFIGURATION_WAIT = 1_000;
+    static final long CONFIGURATION_WAIT = 1_400;
     /** As for the configuration; the removal of a target must be seen well within its drain time of two seconds. */
-    static final long TARGETS_WAIT = 1_000;
+    static final long TARGETS_WAIT = 1_400;
     /** Pause between reads of the target list, so that many changes share one call. */
-    static final long TARGETS_PAUSE = 250;
+    static final long TARGETS_PAUSE = 900;
     /** Members change rarely; a changed member is heard of through its heartbeats too. */
-    static final long MEMBERS_WAIT = 4_000;
+    static final long MEMBERS_WAIT = 8_000;
     /** First pause after a failed call to the store; doubles up to {@link #MAXIMUM_RETRY_PAUSE}. */
     static final long FIRST_RETRY_PAUSE = 100;
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Leadership.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Leadership.java
@@ -54,8 +54,7 @@
     }
 
     Leadership uncertain(boolean now) {
-        return new Leadership(
-                observedEnd, observedAtMillis, fencingToken, renewedAtMillis, asking, askAtMillis, now);
+        return new Leadership(observedEnd, observedAtMillis, fencingToken, renewedAtMillis, asking, askAtMillis, now);
     }
 
     /** Returns whether this entry may send orders. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -11,8 +11,8 @@
  * takes over only when it has seen no new record for the lease and the gap that engines need between two holders.
  */
 final class LeadershipFlow {
-    private static final long RENEWAL_MILLIS = 600; // two renewals may fail within a lease
-    private static final long LEASE_MILLIS = 1_800;
+    private static final long RENEWAL_MILLIS = 400; // two renewals may fail within a lease
+    private static final long LEASE_MILLIS = 1_300;
     private static final long CLOCK_MARGIN_MILLIS = 250; // drift of clocks and time on the way to an engine
     private static final long RANK_DELAY_MILLIS = 120; // keeps candidates from racing for the same offset
     private static final long RETRY_MILLIS = 250;
@@ -31,7 +31,7 @@
             return renew(expire(state, nowMillis, effects), nowMillis, effects);
         }
         boolean first = leadership.observedEnd().getAsLong() == 0;
-        long quiet = first ? 0 : LEASE_MILLIS + state.bounds().leadershipGapMillis() + CLOCK_MARGIN_MILLIS;
+        long quiet = first ? 0 : LEASE_MILLIS + gapMillis(state) + CLOCK_MARGIN_MILLIS;
         boolean due = nowMillis - leadership.observedAtMillis() >= quiet + rankDelay(state, nowMillis);
         boolean informed = state.configuration().isPresent();
         return due && informed ? append(state, effects) : state;
@@ -46,12 +46,14 @@
                 if (leadership.fencingToken().isEmpty()) {
                     effects.add(FleetEffect.Note.of("placement_duty_taken", "fencing_token", token));
                 }
-                FleetState held = state.with(
-                        leadership.holding(token, appended.offset() + 1, event.askedAtMillis(), nowMillis));
+                FleetState held =
+                        state.with(leadership.holding(token, appended.offset() + 1, event.askedAtMillis(), nowMillis));
                 yield leadership.fencingToken().isEmpty() ? held.with(PlacementState.takenOver(nowMillis)) : held;
             }
-            case FleetEvent.AppendResult.Conflict conflict when leadership.fencingToken().isPresent() -> {
-                effects.add(new FleetEffect.ReadLeadership(leadership.observedEnd().orElse(0)));
+            case FleetEvent.AppendResult.Conflict conflict
+            when leadership.fencingToken().isPresent() -> {
+                effects.add(
+                        new FleetEffect.ReadLeadership(leadership.observedEnd().orElse(0)));
                 yield state.with(leadership.asking(true).uncertain(true));
             }
             case FleetEvent.AppendResult.Conflict conflict ->
@@ -73,7 +75,8 @@
                     event.nowMillis()));
         }
         if (leadership.fencingToken().isPresent()) {
-            effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", "another holder", "holders", event.holders()));
+            effects.add(
+                    FleetEffect.Note.of("placement_duty_lost", "reason", "another holder", "holders", event.holders()));
         }
         return state.with(leadership.observed(event.endOffset(), event.nowMillis()));
     }
@@ -85,8 +88,8 @@
     /** Another entry's proof that it holds the duty saves this entry from reading the log. */
     FleetState onClaim(FleetState state, long nowMillis, LeadershipClaim claim, List<FleetEffect> effects) {
         Leadership leadership = state.leadership();
-        boolean news = leadership.observedEnd().isEmpty()
-                || leadership.observedEnd().getAsLong() < claim.endOffset();
+        boolean news =
+                leadership.observedEnd().isEmpty() || leadership.observedEnd().getAsLong() < claim.endOffset();
         if (!news) {
             return state;
         }
@@ -105,7 +108,12 @@
         effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", "stop"));
         Leadership held = state.leadership();
         return state.with(new Leadership(
-                held.observedEnd(), held.observedAtMillis(), OptionalLong.empty(), 0, held.asking(), held.askAtMillis(),
+                held.observedEnd(),
+                held.observedAtMillis(),
+                OptionalLong.empty(),
+                0,
+                held.asking(),
+                held.askAtMillis(),
                 false));
     }
 
@@ -126,7 +134,8 @@
         long silence = FleetTimings.silenceMillis(state.memberCount());
         return state.peers().values().stream()
                 .filter(peer -> peer.isAlive(nowMillis, silence))
-                .filter(peer -> peer.digest().flatMap(digest -> digest.leadership()).isPresent())
+                .filter(peer ->
+                        peer.digest().flatMap(digest -> digest.leadership()).isPresent())
                 .findFirst();
     }
 
@@ -165,6 +174,11 @@
         return state.with(lost);
     }
 
+    /** Engines that check tokens reject the predecessor's orders by themselves. */
+    private static long gapMillis(FleetState state) {
+        return state.bounds().enginesCheckTokens() ? 0 : state.bounds().leadershipGapMillis();
+    }
+
     private static long rankDelay(FleetState state, long nowMillis) {
         long silence = FleetTimings.silenceMillis(state.memberCount());
         long before = state.peers().values().stream()
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.FleetMessage.Digest;
 import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
@@ -87,8 +89,10 @@
     FleetState onResidency(FleetState state, FleetMessage.Residency residency) {
         FleetTarget target = state.targets().get(residency.target());
         boolean same = target != null && target.description().startedAtMillis() == residency.startedAtMillis();
-        return same ? state.with(target.withResidency(
-                        residency.models(), residency.adaptersByModel(), residency.unloading())) : state;
+        return same
+                ? state.with(
+                        target.withResidency(residency.models(), residency.adaptersByModel(), residency.unloading()))
+                : state;
     }
 
     static boolean isReady(FleetState state, long nowMillis) {
@@ -110,19 +114,35 @@
         return sum;
     }
 
-    private Digest digest(FleetState state, long nowMillis) {
-        List<TargetWork> work = state.targets().values().stream()
+    /** Returns what this entry has sent to targets and what is still open. */
+    static List<TargetWork> work(FleetState state) {
+        Map<String, Set<String>> adapters = new HashMap<>();
+        for (FleetRequest request : state.requests().values()) {
+            if (request.phase() instanceof FleetPhase.Running running
+                    && request.call().adapter().isPresent()) {
+                adapters.computeIfAbsent(running.target(), target -> new HashSet<>())
+                        .add(request.call().model().orElse("") + "/"
+                                + request.call().adapter().get());
+            }
+        }
+        return state.targets().values().stream()
                 .filter(target -> !target.outstanding().isEmpty())
                 .map(target -> new TargetWork(
-                        target.description().id(), target.outstanding().size(), target.unreadTokens()))
+                        target.description().id(),
+                        target.outstanding().size(),
+                        target.unreadTokens(),
+                        adapters.getOrDefault(target.description().id(), Set.of())))
                 .toList();
+    }
+
+    private Digest digest(FleetState state, long nowMillis) {
         return new Digest(
                 state.self().id(),
                 state.self(),
                 isReady(state, nowMillis),
                 !(state.stop() instanceof StopStage.Serving),
                 LeadershipFlow.claim(state, nowMillis),
-                work,
+                work(state),
                 ownDemand(state, nowMillis));
     }
 
@@ -130,7 +150,8 @@
     private static void withdrawLost(FleetState state, long nowMillis, List<FleetEffect> effects) {
         for (FleetPeer peer : state.peers().values()) {
             if (peer.isSilentSince(nowMillis - LOST_MILLIS)) {
-                effects.add(FleetEffect.Note.of("member_lost", "member", peer.member().id()));
+                effects.add(FleetEffect.Note.of(
+                        "member_lost", "member", peer.member().id()));
                 effects.add(new FleetEffect.Withdraw(peer.member().id()));
             }
         }
@@ -147,8 +168,7 @@
         List<ModelDemand> demands = new ArrayList<>();
         state.demand().at(nowMillis).forEach((key, tokens) -> {
             DemandKey parsed = DemandKey.parse(key);
-            demands.add(new ModelDemand(
-                    parsed.service(), parsed.model(), tokens, waiting.getOrDefault(parsed, 0)));
+            demands.add(new ModelDemand(parsed.service(), parsed.model(), tokens, waiting.getOrDefault(parsed, 0)));
         });
         return List.copyOf(demands);
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -12,9 +12,12 @@
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.FleetMessage.PlacementWish;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
 import org.jackdawbeam.model.fleet.ServiceDefinition;
 import org.jackdawbeam.model.fleet.TargetReport;
 import org.jackdawbeam.model.log.OrderAction;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 
 /** Orders engines to load and drop models and adapters, while this entry holds the placement duty. */
 final class PlacementFlow {
@@ -23,16 +26,19 @@
     private static final long REPORT_MILLIS = 200; // reports are that old
     private static final double LOAD_BURST = 2;
     private static final int LOADS_AT_ONCE = 3; // the weight store serves that many at full speed
-    private static final int ADAPTER_WISH_MILLIS = 1_500;
+    private static final long ADAPTER_WISH_MILLIS = 1_500; // a wish that is still needed is repeated sooner
+    private static final long ADAPTER_LOAD_MILLIS = 16; // the largest adapter arrives within 14 ms
+    private static final long ARRIVAL_MEMORY_MILLIS = 500; // ten times the pause between looks
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         if (!LeadershipFlow.holds(state, nowMillis) || state.configuration().isEmpty()) {
             return state;
         }
-        FleetState next = state;
+        FleetState next = noteUse(state, nowMillis, PeerFlow.work(state));
         for (ServiceDefinition service : state.configuration().get().services().values()) {
             if (service.engine().isPresent()) {
                 next = readReports(next, service.name(), nowMillis, effects);
+                next = announceArrived(next, service.name(), nowMillis, effects);
                 next = loadAdapters(next, service.name(), service.engine().get(), nowMillis, effects);
                 next = planReplicas(next, service.name(), service.engine().get(), nowMillis, effects);
             }
@@ -41,29 +47,47 @@
     }
 
     FleetState onWish(FleetState state, long nowMillis, PlacementWish wish, List<FleetEffect> effects) {
-        if (!LeadershipFlow.holds(state, nowMillis) || wish.adapter().isEmpty() || wish.target().isEmpty()) {
+        if (!LeadershipFlow.holds(state, nowMillis)
+                || wish.adapter().isEmpty()
+                || wish.target().isEmpty()) {
             return state;
         }
         FleetTarget target = state.targets().get(wish.target().get());
         if (target == null) {
             return state;
         }
-        if (target.holds(wish.model(), wish.adapter())) {
-            broadcast(state, target, effects);
-            return state;
+        AdapterKey key = new AdapterKey(wish.model(), wish.adapter().get());
+        EngineDuty duty = duty(state, target);
+        AdapterPlace place = duty.adapters().get(key);
+        if (place != null) {
+            FleetState wanted = state.with(
+                    state.placement().with(target.description().id(), duty.with(key, place.wanted(nowMillis))));
+            return announce(wanted, target, nowMillis, effects);
         }
         PlacementWish anonymous = new PlacementWish("", wish.service(), wish.model(), wish.adapter(), wish.target());
-        EngineDuty duty = duty(state, target)
-                .wished(adapterKey(wish.model(), wish.adapter().get()), nowMillis);
-        FleetState wished = state.with(state.placement()
-                .with(anonymous)
-                .with(target.description().id(), duty));
+        FleetState wished = state.with(state.placement().with(anonymous, nowMillis));
         return state.configuration()
                 .flatMap(known -> known.engine(wish.service()))
                 .map(engine -> loadAdapters(wished, wish.service(), engine, nowMillis, effects))
                 .orElse(wished);
     }
 
+    /** Keeps the adapters that requests use. */
+    FleetState noteUse(FleetState state, long nowMillis, List<TargetWork> work) {
+        if (!LeadershipFlow.holds(state, nowMillis)) {
+            return state;
+        }
+        FleetState next = state;
+        for (TargetWork item : work) {
+            FleetTarget target = next.targets().get(item.target());
+            if (target != null && !item.adapters().isEmpty()) {
+                next = next.with(
+                        next.placement().with(item.target(), duty(next, target).wanted(item.adapters(), nowMillis)));
+            }
+        }
+        return next;
+    }
+
     FleetState onReport(FleetState state, FleetEvent.ReportRead event, List<FleetEffect> effects) {
         FleetTarget target = state.targets().get(event.target());
         if (target == null) {
@@ -83,14 +107,29 @@
         Optional<String> changing = settled ? Optional.empty() : duty.changing();
         long reportAt = changing.isPresent() ? event.nowMillis() + REPORT_MILLIS : Long.MAX_VALUE;
         EngineDuty known = duty.reported(OptionalLong.of(count), changing, reportAt);
-        boolean ordersSince = duty.orderCount().isPresent() && report.orderCount() < duty.orderCount().getAsLong();
-        Map<String, Set<String>> adapters = ordersSince ? target.adapters() : report.adapters();
+        boolean ordersSince = duty.orderCount().isPresent()
+                && report.orderCount() < duty.orderCount().getAsLong();
+        EngineDuty corrected = ordersSince ? known : known.withAdapters(reported(report, duty, event.nowMillis()));
         Set<String> unloading = settled ? Set.of() : target.unloading();
-        FleetTarget described = target.withResidency(report.models(), adapters, unloading);
+        FleetTarget described = target.withResidency(report.models(), usable(corrected, event.nowMillis()), unloading);
+        effects.add(FleetEffect.Note.of(
+                "engine_reported",
+                "target",
+                event.target(),
+                "order_count",
+                report.orderCount(),
+                "known_count",
+                duty.orderCount().orElse(-1),
+                "busy",
+                report.busy(),
+                "models",
+                String.join("+", report.models()),
+                "adapters",
+                report.adapters()));
         if (!described.equals(target)) {
             broadcast(state, described, effects);
         }
-        return state.with(state.placement().with(event.target(), known)).with(described);
+        return state.with(state.placement().with(event.target(), corrected)).with(described);
     }
 
     FleetState onAnswered(FleetState state, FleetEvent.OrderAnswered event, List<FleetEffect> effects) {
@@ -123,13 +162,14 @@
             case HOLDS -> holds(state, target, duty, order, nowMillis, effects);
             case CONFLICT, REJECTED, UNKNOWN -> {
                 EngineDuty unsure = duty.answered(OptionalLong.empty(), nowMillis + REPORT_MILLIS);
-                FleetTarget kept = target.withResidency(
-                        target.description().models(), target.adapters(), Set.of());
+                FleetTarget kept = target.withResidency(target.description().models(), target.adapters(), Set.of());
                 yield state.with(state.placement().with(order.target(), unsure)).with(kept);
             }
-            case FENCED -> LeadershipFlow.giveUp(
-                    state.with(state.placement().with(order.target(), duty.answered(OptionalLong.empty(), nowMillis))),
-                    effects);
+            case FENCED ->
+                LeadershipFlow.giveUp(
+                        state.with(
+                                state.placement().with(order.target(), duty.answered(OptionalLong.empty(), nowMillis))),
+                        effects);
         };
     }
 
@@ -146,7 +186,7 @@
                     counted.changing(Optional.of(order.model()), nowMillis, nowMillis + FIRST_REPORT_MILLIS);
             return state.with(state.placement().with(order.target(), changing));
         }
-        return withAdapter(state, target, counted, order, effects);
+        return withAdapter(state, target, counted, order, nowMillis, effects);
     }
 
     private static FleetState holds(
@@ -159,30 +199,78 @@
         boolean counts = order.action() == OrderAction.UNLOAD_ADAPTER;
         OptionalLong count = OptionalLong.of(order.expectedCount() + (counts ? 1 : 0));
         if (order.adapter().isPresent()) {
-            return withAdapter(state, target, duty.answered(count, duty.reportAtMillis()), order, effects);
+            return withAdapter(state, target, duty.answered(count, duty.reportAtMillis()), order, nowMillis, effects);
         }
         return state.with(state.placement().with(order.target(), duty.answered(count, nowMillis)));
     }
 
     private static FleetState withAdapter(
-            FleetState state, FleetTarget target, EngineDuty duty, EngineOrder order, List<FleetEffect> effects) {
-        Set<String> held = new HashSet<>(target.adapters().getOrDefault(order.model(), Set.of()));
-        if (order.action() == OrderAction.LOAD_ADAPTER) {
-            held.add(order.adapter().orElseThrow());
-        } else {
-            held.remove(order.adapter().orElseThrow());
+            FleetState state,
+            FleetTarget target,
+            EngineDuty duty,
+            EngineOrder order,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        AdapterKey key = new AdapterKey(order.model(), order.adapter().orElseThrow());
+        if (order.action() == OrderAction.UNLOAD_ADAPTER) {
+            FleetState dropped = state.with(state.placement().with(order.target(), duty.without(key)));
+            return announce(dropped, target, nowMillis, effects);
         }
-        Map<String, Set<String>> adapters = new HashMap<>(target.adapters());
-        adapters.put(order.model(), Set.copyOf(held));
-        FleetTarget changed = target.withAdapters(Map.copyOf(adapters));
-        FleetState next = state.with(state.placement().with(order.target(), duty)).with(changed);
-        broadcast(next, changed, effects);
-        return next;
+        effects.add(new FleetEffect.WakeAfter(ADAPTER_LOAD_MILLIS));
+        AdapterPlace place = new AdapterPlace(nowMillis + ADAPTER_LOAD_MILLIS, nowMillis);
+        return state.with(state.placement().with(order.target(), duty.with(key, place)));
+    }
+
+    /** Tells everybody which adapters of an engine can be used, if that has changed. */
+    private static FleetState announce(
+            FleetState state, FleetTarget target, long nowMillis, List<FleetEffect> effects) {
+        FleetTarget changed = target.withAdapters(usable(duty(state, target), nowMillis));
+        broadcast(state, changed, effects);
+        return state.with(changed);
     }
 
-    private static FleetState readReports(
+    private static FleetState announceArrived(
             FleetState state, String service, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
+        for (FleetTarget target : engines(state, service)) {
+            boolean arrived = duty(state, target).adapters().entrySet().stream()
+                    .anyMatch(entry -> entry.getValue().usableAtMillis() <= nowMillis
+                            && entry.getValue().usableAtMillis() > nowMillis - ARRIVAL_MEMORY_MILLIS
+                            && !holds(target, entry.getKey()));
+            next = arrived ? announce(next, target, nowMillis, effects) : next;
+        }
+        return next;
+    }
+
+    private static boolean holds(FleetTarget target, AdapterKey key) {
+        return target.adapters().getOrDefault(key.model(), Set.of()).contains(key.adapter());
+    }
+
+    private static Map<String, Set<String>> usable(EngineDuty duty, long nowMillis) {
+        Map<String, Set<String>> byModel = new HashMap<>();
+        duty.adapters().forEach((key, place) -> {
+            if (place.usableAtMillis() <= nowMillis) {
+                byModel.computeIfAbsent(key.model(), model -> new HashSet<>()).add(key.adapter());
+            }
+        });
+        byModel.replaceAll((model, adapters) -> Set.copyOf(adapters));
+        return Map.copyOf(byModel);
+    }
+
+    private static PMap<AdapterKey, AdapterPlace> reported(TargetReport report, EngineDuty duty, long nowMillis) {
+        PMap<AdapterKey, AdapterPlace> adapters = HashTreePMap.empty();
+        for (Map.Entry<String, Set<String>> model : report.adapters().entrySet()) {
+            for (String adapter : model.getValue()) {
+                AdapterKey key = new AdapterKey(model.getKey(), adapter);
+                AdapterPlace known = duty.adapters().get(key);
+                adapters = adapters.plus(key, known == null ? new AdapterPlace(nowMillis, 0) : known);
+            }
+        }
+        return adapters;
+    }
+
+    private static FleetState readReports(FleetState state, String service, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
         for (FleetTarget target : engines(state, service)) {
             EngineDuty duty = duty(next, target);
             boolean due = duty.orderCount().isEmpty() || duty.changing().isPresent();
@@ -198,16 +286,21 @@
     private static FleetState loadAdapters(
             FleetState state, String service, EngineDefinition engine, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
-        for (PlacementWish wish : state.placement().wishes()) {
-            if (wish.service().equals(service)) {
-                next = loadAdapter(next, engine, wish, nowMillis, effects);
+        for (Map.Entry<PlacementWish, Long> wish : state.placement().wishes().entrySet()) {
+            if (wish.getKey().service().equals(service)) {
+                next = loadAdapter(next, engine, wish.getKey(), wish.getValue(), nowMillis, effects);
             }
         }
         return next;
     }
 
     private static FleetState loadAdapter(
-            FleetState state, EngineDefinition engine, PlacementWish wish, long nowMillis, List<FleetEffect> effects) {
+            FleetState state,
+            EngineDefinition engine,
+            PlacementWish wish,
+            long wishedAtMillis,
+            long nowMillis,
+            List<FleetEffect> effects) {
         String id = wish.target().orElseThrow();
         String adapter = wish.adapter().orElseThrow();
         FleetTarget target = state.targets().get(id);
@@ -215,41 +308,30 @@
         boolean pointless = target == null
                 || target.description().leaving()
                 || !target.holds(wish.model(), Optional.empty())
-                || target.holds(wish.model(), Optional.of(adapter));
+                || duty(state, target).adapters().containsKey(new AdapterKey(wish.model(), adapter))
+                || nowMillis - wishedAtMillis > ADAPTER_WISH_MILLIS;
         if (pointless) {
             return without;
         }
         EngineDuty duty = duty(state, target);
-        long wishedAt = duty.adapterWishedAt().getOrDefault(adapterKey(wish.model(), adapter), 0L);
-        if (nowMillis - wishedAt > ADAPTER_WISH_MILLIS) {
-            return without;
-        }
-        if (!duty.takesOrders()) {
+        if (!duty.isIdle()) {
             return state;
         }
-        int held = target.adapters().values().stream().mapToInt(Set::size).sum();
-        if (held < engine.adapterPlaces()) {
+        if (duty.adapters().size() < engine.adapterPlaces()) {
             return order(without, target, OrderAction.LOAD_ADAPTER, wish.model(), Optional.of(adapter), effects);
         }
         return dropAdapter(state, target, duty, effects);
     }
 
-    /** Drops the adapter that has not been wished for the longest. */
+    /** Drops the adapter that no request has needed for the longest. */
     private static FleetState dropAdapter(
             FleetState state, FleetTarget target, EngineDuty duty, List<FleetEffect> effects) {
-        record Held(String model, String adapter) {}
-        Optional<Held> oldest = target.adapters().entrySet().stream()
-                .flatMap(entry -> entry.getValue().stream().map(adapter -> new Held(entry.getKey(), adapter)))
-                .min(Comparator.comparingLong((Held held) ->
-                                duty.adapterWishedAt().getOrDefault(adapterKey(held.model(), held.adapter()), 0L))
-                        .thenComparing(Held::adapter));
-        return oldest.map(held -> order(
-                        state,
-                        target,
-                        OrderAction.UNLOAD_ADAPTER,
-                        held.model(),
-                        Optional.of(held.adapter()),
-                        effects))
+        Optional<AdapterKey> oldest = duty.adapters().entrySet().stream()
+                .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterPlace> entry) ->
+                        entry.getValue().wantedAtMillis()))
+                .map(Map.Entry::getKey);
+        return oldest.map(key -> order(
+                        state, target, OrderAction.UNLOAD_ADAPTER, key.model(), Optional.of(key.adapter()), effects))
                 .orElse(state);
     }
 
@@ -287,8 +369,8 @@
                 yield order(paid, target, OrderAction.LOAD_MODEL, load.model(), Optional.empty(), effects);
             }
             case ReplicaPlanner.Move.Unload unload -> {
-                FleetTarget dropping = target.withResidency(
-                        target.description().models(), target.adapters(), Set.of(unload.model()));
+                FleetTarget dropping =
+                        target.withResidency(target.description().models(), target.adapters(), Set.of(unload.model()));
                 broadcast(state, dropping, effects);
                 yield order(
                         state.with(dropping),
@@ -343,8 +425,8 @@
     private static List<FleetTarget> engines(FleetState state, String service) {
         return state.targets().values().stream()
                 .filter(target -> target.description().service().equals(service))
-                .filter(target -> !target.description().leaving()
-                        && target.goneAtMillis().isEmpty())
+                .filter(target ->
+                        !target.description().leaving() && target.goneAtMillis().isEmpty())
                 .toList();
     }
 
@@ -353,8 +435,4 @@
         long startedAt = target.description().startedAtMillis();
         return known == null || known.startedAtMillis() != startedAt ? EngineDuty.unknown(startedAt) : known;
     }
-
-    private static String adapterKey(String model, String adapter) {
-        return model + "/" + adapter;
-    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
@@ -2,22 +2,20 @@
 
 import org.jackdawbeam.model.fleet.FleetMessage.PlacementWish;
 import org.pcollections.HashTreePMap;
-import org.pcollections.OrderedPSet;
 import org.pcollections.PMap;
 
-
 /**
  * Work of the holder of the placement duty.
  *
  * @param engines engines by target id
- * @param wishes adapters asked for, oldest first
+ * @param wishes adapters asked for, with the time of the wish
  * @param loads loads from the weight store that may begin now
  * @param accruedAtMillis time up to which loads have been accrued
  * @param plannedAtMillis when replicas were last planned
  */
 public record PlacementState(
         PMap<String, EngineDuty> engines,
-        OrderedPSet<PlacementWish> wishes,
+        PMap<PlacementWish, Long> wishes,
         double loads,
         long accruedAtMillis,
         long plannedAtMillis) {
@@ -28,7 +26,7 @@
 
     /** Returns the state of a new holder, which assumes that its predecessor has used all loads. */
     static PlacementState takenOver(long nowMillis) {
-        return new PlacementState(HashTreePMap.empty(), OrderedPSet.empty(), 0, nowMillis, 0);
+        return new PlacementState(HashTreePMap.empty(), HashTreePMap.empty(), 0, nowMillis, 0);
     }
 
     PlacementState with(String target, EngineDuty duty) {
@@ -39,8 +37,8 @@
         return new PlacementState(engines.minus(target), wishes, loads, accruedAtMillis, plannedAtMillis);
     }
 
-    PlacementState with(PlacementWish wish) {
-        return new PlacementState(engines, wishes.plus(wish), loads, accruedAtMillis, plannedAtMillis);
+    PlacementState with(PlacementWish wish, long nowMillis) {
+        return new PlacementState(engines, wishes.plus(wish, nowMillis), loads, accruedAtMillis, plannedAtMillis);
     }
 
     PlacementState without(PlacementWish wish) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -69,12 +69,13 @@
     /** Gives back the units of a request that did not run. */
     FleetState giveBack(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
         Optional<Workspace> workspace = request.workspace()
-                .flatMap(name -> state.configuration().map(known -> known.workspaces().get(name)));
+                .flatMap(name ->
+                        state.configuration().map(known -> known.workspaces().get(name)));
         if (workspace.isEmpty() || !workspace.get().limited()) {
             return state;
         }
-        FleetMessage.QuotaReturn returned = new FleetMessage.QuotaReturn(
-                state.self().id(), workspace.get().name(), request.units());
+        FleetMessage.QuotaReturn returned =
+                new FleetMessage.QuotaReturn(state.self().id(), workspace.get().name(), request.units());
         FleetPeer first = ranking(state, workspace.get().name(), nowMillis).getFirst();
         if (first.member().equals(state.self())) {
             return onReturn(state, returned);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -54,8 +54,8 @@
         Map<String, Integer> replicas = replicas(engines);
         List<String> order = definition.models().keySet().stream()
                 .filter(model -> pressure(needs.get(model), replicas.getOrDefault(model, 0)) > 0)
-                .sorted(Comparator.comparingDouble((String model) ->
-                                -pressure(needs.get(model), replicas.getOrDefault(model, 0)))
+                .sorted(Comparator.comparingDouble(
+                                (String model) -> -pressure(needs.get(model), replicas.getOrDefault(model, 0)))
                         .thenComparing(Comparator.naturalOrder()))
                 .toList();
         for (String model : order) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -79,7 +79,9 @@
                 service,
                 workspace.map(Workspace::name),
                 workspace.map(owner -> units(owner, call)).orElse(0.0),
-                workspace.map(owner -> owner.priority().orElse(route.priority())).orElse(route.priority()),
+                workspace
+                        .map(owner -> owner.priority().orElse(route.priority()))
+                        .orElse(route.priority()),
                 event.nowMillis(),
                 event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
                 0,
@@ -147,7 +149,8 @@
     private FleetState askAgain(
             FleetState state, FleetRequest request, int round, long nowMillis, List<FleetEffect> effects) {
         Optional<Workspace> workspace = request.workspace()
-                .flatMap(name -> state.configuration().map(known -> known.workspaces().get(name)));
+                .flatMap(name ->
+                        state.configuration().map(known -> known.workspaces().get(name)));
         if (workspace.isEmpty() || round >= FleetTimings.QUOTA_ROUNDS) {
             Refusal refusal = Refusal.notRun(RefusalCode.NO_CAPACITY, NOT_READY_RETRY_MILLIS);
             return dispatch.refuse(state, request, refusal, "no entry counts the workspace", effects);
@@ -155,8 +158,7 @@
         return takeUnits(state, request, workspace.get(), round, nowMillis, effects);
     }
 
-    private FleetState deny(
-            FleetState state, FleetRequest request, long retryAfterMillis, List<FleetEffect> effects) {
+    private FleetState deny(FleetState state, FleetRequest request, long retryAfterMillis, List<FleetEffect> effects) {
         long retryAfter = Math.min(MAXIMUM_RETRY_MILLIS, retryAfterMillis);
         Refusal refusal = Refusal.notRun(RefusalCode.OVER_RATE, retryAfter);
         String reason = "workspace over its rate, units " + Math.round(request.units());
@@ -169,8 +171,8 @@
             Refusal refusal,
             String reason,
             List<FleetEffect> effects) {
-        effects.add(new FleetEffect.RefuseRequest(
-                event.requestId(), event.request().callerRequestId(), refusal, reason));
+        effects.add(
+                new FleetEffect.RefuseRequest(event.requestId(), event.request().callerRequestId(), refusal, reason));
         return state;
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
@@ -17,14 +17,16 @@
         if (!(state.stop() instanceof StopStage.Serving)) {
             return state;
         }
-        effects.add(FleetEffect.Note.of("stop_requested", "open_requests", state.requests().size()));
+        effects.add(FleetEffect.Note.of(
+                "stop_requested", "open_requests", state.requests().size()));
         FleetState leaving = LeadershipFlow.giveUp(state.with(new StopStage.Leaving(nowMillis)), effects);
         return peers.sendDigest(leaving, nowMillis, effects);
     }
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         return switch (state.stop()) {
-            case StopStage.Leaving leaving when nowMillis - leaving.sinceMillis() >= LEAVING_MILLIS -> {
+            case StopStage.Leaving leaving
+            when nowMillis - leaving.sinceMillis() >= LEAVING_MILLIS -> {
                 effects.add(new FleetEffect.StopListening());
                 effects.add(new FleetEffect.Withdraw(state.self().id()));
                 yield state.with(new StopStage.Draining(leaving.sinceMillis()));
@@ -44,7 +46,8 @@
             String caller = request.call().callerRequestId();
             effects.add(new FleetEffect.BreakAnswer(request.id(), caller, "the process ends"));
         }
-        effects.add(FleetEffect.Note.of("stopped", "broken_requests", state.requests().size()));
+        effects.add(FleetEffect.Note.of(
+                "stopped", "broken_requests", state.requests().size()));
         effects.add(new FleetEffect.Exit());
         return state.with(new StopStage.Stopped());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -32,8 +32,7 @@
                 .min(Comparator.comparingLong(Choice::estimateMillis));
     }
 
-    static Choice estimate(
-            FleetState state, FleetRequest request, FleetTarget target, boolean engine, long nowMillis) {
+    static Choice estimate(FleetState state, FleetRequest request, FleetTarget target, boolean engine, long nowMillis) {
         String id = target.description().id();
         long peersUnread = 0;
         int running = target.outstanding().size();
@@ -61,7 +60,9 @@
     /** Returns the identifiers under which the leading parts of a prompt are remembered. */
     static List<Long> prefixes(FleetRequest request) {
         List<Long> hashes = new ArrayList<>();
-        long hash = (request.call().model().orElse("") + "/" + request.call().adapter().orElse("")).hashCode();
+        long hash = (request.call().model().orElse("") + "/"
+                        + request.call().adapter().orElse(""))
+                .hashCode();
         for (PromptPart part : request.call().prompt()) {
             hash = hash * 0x9E3779B97F4A7C15L + part.id();
             hashes.add(hash);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -43,8 +43,9 @@
      *
      * @param running requests sent and not ended
      * @param unreadTokens prompt tokens of requests whose answer has not begun
+     * @param adapters adapters that the requests use, each as model and adapter with a slash between
      */
-    record TargetWork(String target, int running, long unreadTokens) {}
+    record TargetWork(String target, int running, long unreadTokens, Set<String> adapters) {}
 
     /**
      * Demand for one model.
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
@@ -26,7 +26,6 @@
 
     /** Returns the target with other models. */
     public TargetDescription withModels(Set<String> held) {
-        return new TargetDescription(
-                id, service, address, zone, slots, leaving, held, startedAtMillis, orderCount);
+        return new TargetDescription(id, service, address, zone, slots, leaving, held, startedAtMillis, orderCount);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetEffects.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetEffects.java
@@ -55,6 +55,7 @@
             case FleetEffect.RefuseRequest refuse -> relay.refuse(refuse.requestId(), refuse.refusal());
             case FleetEffect.BreakAnswer broken -> relay.breakAnswer(broken.requestId());
             case FleetEffect.ForgetRequest forget -> relay.forget(forget.requestId());
+            case FleetEffect.WakeAfter wake -> loop.wakeAfter(wake.delayMillis());
             case FleetEffect.SendOrder send -> platform.sendOrder(send.order(), loop::submit);
             case FleetEffect.ReadReport read -> platform.readReport(read, loop::submit);
             case FleetEffect.ForgetTarget forget -> connections.forget(TargetAddress.parse(forget.address()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -15,8 +15,10 @@
     @Override
     public void onEvent(FleetState state, FleetEvent event) {
         if (event instanceof FleetEvent.AttemptCompleted completed) {
-            Logger.info("event=attempt_completed request_number={} attempt={}",
-                    completed.attempt().requestId(), completed.attempt().number());
+            Logger.info(
+                    "event=attempt_completed request_number={} attempt={}",
+                    completed.attempt().requestId(),
+                    completed.attempt().number());
         }
     }
 
@@ -55,9 +57,7 @@
                         broken.reason());
             case FleetEffect.ForgetRequest forget ->
                 Logger.info(
-                        "event=caller_left request={} request_number={}",
-                        forget.callerRequestId(),
-                        forget.requestId());
+                        "event=caller_left request={} request_number={}", forget.callerRequestId(), forget.requestId());
             case FleetEffect.SendOrder send ->
                 Logger.info(
                         "event=order_sent target={} action={} model={} adapter={} expected_count={} fencing_token={}",
@@ -76,7 +76,8 @@
 
     @Override
     public void onFailure(FleetEvent event, RuntimeException failure) {
-        Logger.error(failure, "event=internal_failure while={}", event.getClass().getSimpleName());
+        Logger.error(
+                failure, "event=internal_failure while={}", event.getClass().getSimpleName());
     }
 
     private static long version(FleetState state) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Submits a {@link FleetEvent.Woken} after a delay. */
+    void wakeAfter(long delayMillis) {
+        thread.schedule(() -> submit(new FleetEvent.Woken(nowMillis())), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void apply(FleetEvent event) {
         try {
             Reduction reduction = reducer.apply(state, event);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
@@ -67,7 +67,12 @@
             return;
         }
         AttemptRelay attempt = new AttemptRelay(
-                start, request, dialect, connections, loop, () -> open.remove(start.attempt().requestId()));
+                start,
+                request,
+                dialect,
+                connections,
+                loop,
+                () -> open.remove(start.attempt().requestId()));
         request.startAttempt(attempt);
         attempt.start();
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
@@ -139,7 +139,8 @@
         streaming = true;
         HttpResponseStatus line = HttpResponseStatus.valueOf(status);
         DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, line, answerHeaders);
-        boolean hasBody = status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
+        boolean hasBody =
+                status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code();
         if (hasBody && !answerHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)) {
             HttpUtil.setTransferEncodingChunked(head, true);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
@@ -42,10 +42,7 @@
      * @throws JackdawbeamException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be used
      */
     public static HttpServer start(
-            EventLoopGroup group,
-            InetSocketAddress address,
-            Supplier<HttpLimits> limits,
-            HttpExchangeHandler handler) {
+            EventLoopGroup group, InetSocketAddress address, Supplier<HttpLimits> limits, HttpExchangeHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/log/BoundedConsoleWriter.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/log/BoundedConsoleWriter.java
@@ -1,7 +1,7 @@
 package org.jackdawbeam.net.log;
 
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -77,7 +77,9 @@
                 }
                 long leftOut = LEFT_OUT.get();
                 if (leftOut > reportedLeftOut) {
-                    batch.append("level=WARN event=log_lines_left_out total=").append(leftOut).append('\n');
+                    batch.append("level=WARN event=log_lines_left_out total=")
+                            .append(leftOut)
+                            .append('\n');
                     reportedLeftOut = leftOut;
                 }
                 writeBytes(batch.toString());
