Plan replicas by the waiting time they save; tell peers of work every 50 ms

Change: gain and loss of a replica in waiting seconds per second, demand averaged over 3 s, loads at hand first, several moves at once, adapters in use stay.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPeer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPeer.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMember;
@@ -28,9 +29,18 @@
     }
 
     static FleetPeer heard(Digest digest, long nowMillis) {
+        return new FleetPeer(digest.member(), nowMillis, nowMillis, Optional.of(digest), byTarget(digest.work()));
+    }
+
+    /** Returns the peer with newer work than that of its heartbeat. */
+    FleetPeer doing(List<TargetWork> work) {
+        return new FleetPeer(member, knownSinceMillis, heardAtMillis, digest, byTarget(work));
+    }
+
+    private static Map<String, TargetWork> byTarget(List<TargetWork> work) {
         Map<String, TargetWork> byTarget = new HashMap<>();
-        digest.work().forEach(work -> byTarget.put(work.target(), work));
-        return new FleetPeer(digest.member(), nowMillis, nowMillis, Optional.of(digest), Map.copyOf(byTarget));
+        work.forEach(item -> byTarget.put(item.target(), item));
+        return Map.copyOf(byTarget);
     }
 
     boolean isAlive(long nowMillis, long silenceMillis) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -78,6 +78,7 @@
         return switch (message) {
             case FleetMessage.Digest digest ->
                 placement.noteUse(peers.onDigest(state, nowMillis, digest, effects), nowMillis, digest.work());
+            case FleetMessage.WorkNotice notice -> peers.onWorkNotice(state, notice);
             case FleetMessage.QuotaQuestion question -> quota.onQuestion(state, nowMillis, question, effects);
             case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -18,7 +18,7 @@
  * @param buckets units of the workspaces that this entry has counted
  * @param retries retries allowed by service
  * @param demand what callers of this entry ask for, by {@link DemandKey}
- * @param sentAtMillis when the latest heartbeat was sent
+ * @param sent what the other entries were last told
  */
 public record FleetState(
         FleetMember self,
@@ -35,7 +35,8 @@
         Demand demand,
         Announcement announcement,
         StopStage stop,
-        long sentAtMillis) {
+        SentWork sent) {
+    private static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last three seconds and more
 
     /** Returns the state of an entry that has just started. */
     public static FleetState initial(FleetMember self, FleetBounds bounds) {
@@ -55,10 +56,10 @@
                 HashTreePMap.empty(),
                 Leadership.unknown(),
                 PlacementState.empty(),
-                Demand.none(),
+                Demand.none(DEMAND_WINDOW_MILLIS),
                 Announcement.DUE,
                 new StopStage.Serving(),
-                0);
+                SentWork.nothing());
     }
 
     FleetState with(FleetBounds changed) {
@@ -77,7 +78,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(Feed feed, FeedState changed) {
@@ -96,7 +97,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(FleetConfiguration changed) {
@@ -115,7 +116,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState withTargets(PMap<String, FleetTarget> changed) {
@@ -134,7 +135,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(FleetTarget target) {
@@ -157,7 +158,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
@@ -176,7 +177,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(FleetRequest request) {
@@ -203,7 +204,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(String service, RetryAllowance allowance) {
@@ -222,7 +223,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(Leadership changed) {
@@ -241,7 +242,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(PlacementState changed) {
@@ -260,7 +261,7 @@
                 demand,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(Demand changed) {
@@ -279,7 +280,7 @@
                 changed,
                 announcement,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(Announcement changed) {
@@ -298,7 +299,7 @@
                 demand,
                 changed,
                 stop,
-                sentAtMillis);
+                sent);
     }
 
     FleetState with(StopStage changed) {
@@ -317,10 +318,10 @@
                 demand,
                 announcement,
                 changed,
-                sentAtMillis);
+                sent);
     }
 
-    FleetState withDigestSentAt(long nowMillis) {
+    FleetState with(SentWork changed) {
         return new FleetState(
                 self,
                 bounds,
@@ -336,7 +337,7 @@
                 demand,
                 announcement,
                 stop,
-                nowMillis);
+                changed);
     }
 
     FeedState feed(Feed feed) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -22,6 +22,8 @@
     static final long OUTAGE_MEMORY = 3_000;
     /** Time between heartbeats with up to {@link #MEMBERS_AT_FULL_RATE} members. */
     static final long HEARTBEAT = 250;
+    /** Time between news of work; an engine reads half a prompt in that time. */
+    static final long NOTICE = 50;
     /** Beyond this many members heartbeats become rarer in proportion, which bounds messages per entry. */
     static final int MEMBERS_AT_FULL_RATE = 16;
     /** Heartbeats that may be lost before a peer counts as gone. */
@@ -37,6 +39,10 @@
         return HEARTBEAT * Math.max(MEMBERS_AT_FULL_RATE, members) / MEMBERS_AT_FULL_RATE;
     }
 
+    static long noticeMillis(int members) {
+        return NOTICE * Math.max(MEMBERS_AT_FULL_RATE, members) / MEMBERS_AT_FULL_RATE;
+    }
+
     static long silenceMillis(int members) {
         return HEARTBEATS_MISSED * heartbeatMillis(members);
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -24,10 +24,12 @@
     }
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
-        if (nowMillis - state.sentAtMillis() < FleetTimings.heartbeatMillis(state.memberCount())) {
-            return state;
+        int members = state.memberCount();
+        if (nowMillis - state.sent().digestAtMillis() >= FleetTimings.heartbeatMillis(members)) {
+            return sendDigest(state, nowMillis, effects);
         }
-        return sendDigest(state, nowMillis, effects);
+        boolean noticeDue = nowMillis - state.sent().noticeAtMillis() >= FleetTimings.noticeMillis(members);
+        return noticeDue ? sendNotice(state, nowMillis, effects) : state;
     }
 
     /** Sends a heartbeat to all members at once. */
@@ -36,10 +38,29 @@
         if (LeadershipFlow.holds(state, nowMillis)) {
             withdrawLost(state, nowMillis, effects);
         }
+        sendToAll(state, digest, effects);
+        return state.with(new SentWork(nowMillis, nowMillis, digest.work()));
+    }
+
+    /** Tells the others what has been sent to targets since, so that they do not all choose the same target. */
+    private static FleetState sendNotice(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        List<TargetWork> work = work(state);
+        if (work.equals(state.sent().work())) {
+            return state;
+        }
+        sendToAll(state, new FleetMessage.WorkNotice(state.self().id(), work), effects);
+        return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work));
+    }
+
+    private static void sendToAll(FleetState state, FleetMessage message, List<FleetEffect> effects) {
         for (FleetPeer peer : state.peers().values()) {
-            effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), digest));
+            effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), message));
         }
-        return state.withDigestSentAt(nowMillis);
+    }
+
+    FleetState onWorkNotice(FleetState state, FleetMessage.WorkNotice notice) {
+        FleetPeer peer = state.peers().get(notice.sender());
+        return peer == null ? state : state.withPeers(state.peers().plus(notice.sender(), peer.doing(notice.work())));
     }
 
     FleetState onDigest(FleetState state, long nowMillis, Digest digest, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -25,9 +25,11 @@
     private static final long FIRST_REPORT_MILLIS = 420; // no model is loaded sooner
     private static final long REPORT_MILLIS = 200; // reports are that old
     private static final double LOAD_BURST = 2;
+    private static final int MOVES_AT_ONCE = 4; // bounds the work of one event
     private static final int LOADS_AT_ONCE = 3; // the weight store serves that many at full speed
     private static final long ADAPTER_WISH_MILLIS = 1_500; // a wish that is still needed is repeated sooner
     private static final long ADAPTER_LOAD_MILLIS = 16; // the largest adapter arrives within 14 ms
+    private static final long ADAPTER_KEEP_MILLIS = 400; // more than the time between heartbeats that tell its use
     private static final long ARRIVAL_MEMORY_MILLIS = 500; // ten times the pause between looks
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
@@ -186,7 +188,10 @@
                     counted.changing(Optional.of(order.model()), nowMillis, nowMillis + FIRST_REPORT_MILLIS);
             return state.with(state.placement().with(order.target(), changing));
         }
-        return withAdapter(state, target, counted, order, nowMillis, effects);
+        EngineDuty next = order.action() == OrderAction.UNLOAD_ADAPTER
+                ? duty.answered(OptionalLong.empty(), nowMillis + REPORT_MILLIS)
+                : counted;
+        return withAdapter(state, target, next, order, nowMillis, effects);
     }
 
     private static FleetState holds(
@@ -213,6 +218,7 @@
             List<FleetEffect> effects) {
         AdapterKey key = new AdapterKey(order.model(), order.adapter().orElseThrow());
         if (order.action() == OrderAction.UNLOAD_ADAPTER) {
+            // An engine that does not answer that it is done still has requests of the adapter; a report tells the end.
             FleetState dropped = state.with(state.placement().with(order.target(), duty.without(key)));
             return announce(dropped, target, nowMillis, effects);
         }
@@ -320,12 +326,12 @@
         if (duty.adapters().size() < engine.adapterPlaces()) {
             return order(without, target, OrderAction.LOAD_ADAPTER, wish.model(), Optional.of(adapter), effects);
         }
-        return dropAdapter(state, target, duty, effects);
+        return dropAdapter(state, target, duty, nowMillis, effects);
     }
 
-    /** Drops the adapter that no request has needed for the longest. */
+    /** Drops the adapter that no request has needed for the longest; one that was needed just now stays. */
     private static FleetState dropAdapter(
-            FleetState state, FleetTarget target, EngineDuty duty, List<FleetEffect> effects) {
+            FleetState state, FleetTarget target, EngineDuty duty, long nowMillis, List<FleetEffect> effects) {
         Optional<AdapterKey> oldest = duty.adapters().entrySet().stream()
                 .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterPlace> entry) ->
                         entry.getValue().wantedAtMillis()))
@@ -341,31 +347,36 @@
             return state;
         }
         FleetState next = state.with(state.placement().accrue(engine.loadsPerSecond(), LOAD_BURST, nowMillis));
-        List<FleetTarget> targets = engines(next, service);
-        long loading = targets.stream()
-                .filter(target -> duty(state, target).changing().isPresent()
-                        && target.unloading().isEmpty())
-                .count();
-        if (next.placement().loads() < 1 || loading >= LOADS_AT_ONCE) {
-            return next;
-        }
         Map<String, ReplicaPlanner.Need> needs = new HashMap<>();
         PeerFlow.fleetDemand(next, nowMillis).forEach((key, demand) -> {
             if (key.service().equals(service)) {
                 needs.put(key.model(), new ReplicaPlanner.Need(demand.tokensPerSecond(), demand.waiting()));
             }
         });
-        List<ReplicaPlanner.Engine> engines =
-                targets.stream().map(target -> view(state, target)).toList();
-        Optional<ReplicaPlanner.Move> move = ReplicaPlanner.plan(engine, engines, needs);
-        return move.map(chosen -> carryOut(next, chosen, effects)).orElse(next);
+        for (int moves = 0; moves < MOVES_AT_ONCE; moves++) {
+            FleetState current = next;
+            List<FleetTarget> targets = engines(current, service);
+            long loading = targets.stream()
+                    .filter(target -> view(current, target).loadsFromStore())
+                    .count();
+            boolean storeLoads = current.placement().loads() >= 1 && loading < LOADS_AT_ONCE;
+            List<ReplicaPlanner.Engine> engines =
+                    targets.stream().map(target -> view(current, target)).toList();
+            Optional<ReplicaPlanner.Move> move = new ReplicaPlanner(engine, engines, needs, storeLoads).plan();
+            if (move.isEmpty()) {
+                return next;
+            }
+            next = carryOut(next, move.get(), effects);
+        }
+        return next;
     }
 
     private static FleetState carryOut(FleetState state, ReplicaPlanner.Move move, List<FleetEffect> effects) {
         FleetTarget target = state.targets().get(move.engine());
         return switch (move) {
             case ReplicaPlanner.Move.Load load -> {
-                FleetState paid = state.with(state.placement().spendLoad());
+                boolean fromStore = !target.description().atHand().contains(load.model());
+                FleetState paid = fromStore ? state.with(state.placement().spendLoad()) : state;
                 yield order(paid, target, OrderAction.LOAD_MODEL, load.model(), Optional.empty(), effects);
             }
             case ReplicaPlanner.Move.Unload unload -> {
@@ -392,7 +403,12 @@
                 .filter(model -> !target.unloading().contains(model));
         Set<String> kept = new HashSet<>(target.description().models());
         kept.removeAll(target.unloading());
-        return new ReplicaPlanner.Engine(target.description().id(), Set.copyOf(kept), duty.isIdle(), coming);
+        return new ReplicaPlanner.Engine(
+                target.description().id(),
+                Set.copyOf(kept),
+                duty.isIdle(),
+                coming,
+                target.description().atHand());
     }
 
     private static FleetState order(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -10,7 +10,8 @@
 
 /** Chooses the target from which the first byte of an answer is expected soonest. */
 final class TargetChooser {
-    private static final double TOKENS_READ_PER_MILLI = 25; // the stated prefill rate of the engines in use
+    private static final double TOKENS_READ_PER_MILLI =
+            20; // the stated prefill rate of the engines in use, less time for decoding
     private static final double STEP_MILLIS = 10; // one decoding step delays the first token of a new request
     private static final double BATCH_MILLIS_PER_REQUEST = 0.5; // decoding work that each running request adds
     private static final double SERVICE_CALL_MILLIS = 80; // typical work of a call to a plain service
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -30,6 +30,13 @@
             List<ModelDemand> demand)
             implements FleetMessage {}
 
+    /**
+     * What the sender is doing, between two heartbeats.
+     *
+     * @param work all that it has sent to targets and that has not ended
+     */
+    record WorkNotice(String sender, List<TargetWork> work) implements FleetMessage {}
+
     /**
      * Proof that a member holds the placement duty.
      *
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
@@ -10,6 +10,7 @@
  * @param slots requests served at once
  * @param leaving whether it gets nothing new
  * @param models names of the models that it holds
+ * @param atHand models whose weights it has in host memory or on disk
  * @param startedAtMillis Unix time of its start; another value under the same id means that it has started again
  * @param orderCount orders accepted since its start
  */
@@ -21,11 +22,13 @@
         int slots,
         boolean leaving,
         Set<String> models,
+        Set<String> atHand,
         long startedAtMillis,
         long orderCount) {
 
     /** Returns the target with other models. */
     public TargetDescription withModels(Set<String> held) {
-        return new TargetDescription(id, service, address, zone, slots, leaving, held, startedAtMillis, orderCount);
+        return new TargetDescription(
+                id, service, address, zone, slots, leaving, held, atHand, startedAtMillis, orderCount);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryEffects.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryEffects.java
@@ -8,6 +8,7 @@
 import org.jackdawbeam.logic.entry.Event;
 import org.jackdawbeam.logic.entry.OrderOutcome;
 import org.jackdawbeam.model.log.LogRecord;
+import org.jackdawbeam.model.peer.PeerMessage;
 import org.jackdawbeam.model.request.AttemptFailure;
 import org.jackdawbeam.model.request.AttemptId;
 import org.jackdawbeam.model.request.StoredAnswer;
@@ -34,7 +35,7 @@
     private final OpenRequests requests;
     private final OperatorCalls operators;
     private final PlatformClient platform;
-    private final PeerLinks peers;
+    private final PeerLinks<PeerMessage> peers;
     private final TargetClient targets;
     private final EngineControl engines;
     private final MessageMapper mapper;
@@ -47,7 +48,7 @@
             OpenRequests requests,
             OperatorCalls operators,
             PlatformClient platform,
-            PeerLinks peers,
+            PeerLinks<PeerMessage> peers,
             TargetClient targets,
             EngineControl engines,
             MessageMapper mapper,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerLinksTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerLinksTest.java
@@ -24,7 +24,7 @@
             new PeerMessage.WithdrawalNotice(new Member("a", 1, "zone", "url", "a:1"), "k");
     private final AtomicLong nowMillis = new AtomicLong();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PeerLinks links = new PeerLinks(group, MessageMapper.messagePack(), nowMillis::get);
+    private final PeerLinks<PeerMessage> links = new PeerLinks<>(group, MessageMapper.messagePack(), nowMillis::get);
     private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
     private ServerSocket server;
     private String address;
