--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterPlace.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterPlace.java
@@ -8,6 +8,11 @@
  */
 public record AdapterPlace(long usableAtMillis, long wantedAtMillis) {
 
+    /** Returns the place of an adapter that is about to be dropped. */
+    AdapterPlace leaving() {
+        return new AdapterPlace(Long.MAX_VALUE, wantedAtMillis);
+    }
+
     AdapterPlace wanted(long nowMillis) {
         return new AdapterPlace(usableAtMillis, Math.max(wantedAtMillis, nowMillis));
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -16,6 +16,8 @@
     private static final long RETRY_MILLIS = 400; // about a load of a model from an engine's memory
     private static final long WISH_AGAIN_MILLIS = 400; // a lost wish is repeated well before a caller gives up
     private static final long LEAST_USEFUL_MILLIS = 150; // a prompt is not read in less
+    private static final long LONGEST_RETRY_MILLIS = 1_500; // queues at engines are shorter than that
+    private static final double LATEST_OBJECTIVES = Double.parseDouble(System.getProperty("latest", "2"));
     private static final int LOWEST_PRIORITY = 9; // the lowest rank that engines know
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
@@ -65,6 +67,14 @@
             return refuseUnserved(
                     state, request, RefusalCode.NO_CAPACITY, "all targets have failed it", nowMillis, effects);
         }
+        if (choice.isPresent() && engine && isHopeless(request, choice.get(), nowMillis)) {
+            long excess = choice.get().estimateMillis() - request.route().objectiveMillis();
+            Refusal refusal =
+                    refusal(request, RefusalCode.QUEUE_FULL, Math.clamp(excess, RETRY_MILLIS, LONGEST_RETRY_MILLIS));
+            FleetState returned = request.hasNotRun() ? quota.giveBack(state, request, nowMillis, effects) : state;
+            String reason = "first token expected in " + choice.get().estimateMillis() + " ms at the best engine";
+            return refuse(returned, request, refusal, reason, effects);
+        }
         if (choice.isPresent()) {
             return send(state, request, choice.get(), nowMillis, effects);
         }
@@ -75,6 +85,16 @@
         return wish(state, request, usable, nowMillis, effects);
     }
 
+    /**
+     * Returns whether the first token would come so late that the caller is better off coming back. A queue that is
+     * longer makes everybody late and serves nobody more.
+     */
+    private static boolean isHopeless(FleetRequest request, TargetChooser.Choice choice, long nowMillis) {
+        long waited = nowMillis - request.arrivedAtMillis();
+        long latest = (long) (LATEST_OBJECTIVES * request.route().objectiveMillis());
+        return waited + choice.estimateMillis() > latest;
+    }
+
     /** Sends waiting requests whose replica has come, and refuses those whose time is running out. */
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -188,6 +188,7 @@
                     counted.changing(Optional.of(order.model()), nowMillis, nowMillis + FIRST_REPORT_MILLIS);
             return state.with(state.placement().with(order.target(), changing));
         }
+        // An engine that does not answer that it is done still has requests of the adapter; a report tells the end.
         EngineDuty next = order.action() == OrderAction.UNLOAD_ADAPTER
                 ? duty.answered(OptionalLong.empty(), nowMillis + REPORT_MILLIS)
                 : counted;
@@ -218,9 +219,7 @@
             List<FleetEffect> effects) {
         AdapterKey key = new AdapterKey(order.model(), order.adapter().orElseThrow());
         if (order.action() == OrderAction.UNLOAD_ADAPTER) {
-            // An engine that does not answer that it is done still has requests of the adapter; a report tells the end.
-            FleetState dropped = state.with(state.placement().with(order.target(), duty.without(key)));
-            return announce(dropped, target, nowMillis, effects);
+            return state.with(state.placement().with(order.target(), duty.without(key)));
         }
         effects.add(new FleetEffect.WakeAfter(ADAPTER_LOAD_MILLIS));
         AdapterPlace place = new AdapterPlace(nowMillis + ADAPTER_LOAD_MILLIS, nowMillis);
@@ -333,12 +332,25 @@
     private static FleetState dropAdapter(
             FleetState state, FleetTarget target, EngineDuty duty, long nowMillis, List<FleetEffect> effects) {
         Optional<AdapterKey> oldest = duty.adapters().entrySet().stream()
+                .filter(entry -> nowMillis - entry.getValue().wantedAtMillis() > ADAPTER_KEEP_MILLIS)
                 .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterPlace> entry) ->
-                        entry.getValue().wantedAtMillis()))
+                                entry.getValue().wantedAtMillis())
+                        .thenComparing(entry -> entry.getKey().adapter()))
                 .map(Map.Entry::getKey);
-        return oldest.map(key -> order(
-                        state, target, OrderAction.UNLOAD_ADAPTER, key.model(), Optional.of(key.adapter()), effects))
-                .orElse(state);
+        if (oldest.isEmpty()) {
+            return state;
+        }
+        AdapterKey key = oldest.get();
+        EngineDuty leaving = duty.with(key, duty.adapters().get(key).leaving());
+        String id = target.description().id();
+        FleetState told = announce(state.with(state.placement().with(id, leaving)), target, nowMillis, effects);
+        return order(
+                told,
+                told.targets().get(id),
+                OrderAction.UNLOAD_ADAPTER,
+                key.model(),
+                Optional.of(key.adapter()),
+                effects);
     }
 
     private static FleetState planReplicas(
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -0,0 +1,192 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.jackdawbeam.model.refusal.Ran;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.jackdawbeam.model.request.AttemptFailure;
+import org.jackdawbeam.model.request.AttemptId;
+import org.junit.jupiter.api.Test;
+
+class AttemptFlowTest {
+    private final FleetFixture fixture = FleetFixture.serving(
+            FleetFixture.service("s1"),
+            FleetFixture.service("s22"),
+            FleetFixture.engine("e1", "m1"),
+            FleetFixture.engine("e22", "m1"));
+
+    private AttemptId started() {
+        return fixture.only(FleetEffect.StartAttempt.class).attempt();
+    }
+
+    private void lose(AttemptId attempt, boolean written) {
+        fixture.apply(
+                new FleetEvent.AttemptFailed(fixture.nowMillis, attempt, AttemptFailure.CONNECTION_LOST, written));
+    }
+
+    private FleetEffect.RefuseRequest refused() {
+        return fixture.only(FleetEffect.RefuseRequest.class);
+    }
+
+    @Test
+    void paymentWhoseConnectionIsLostIsNotSentAgain() {
+        fixture.call("pay");
+
+        lose(started(), true);
+
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.TARGET_FAILED);
+        assertThat(refused().refusal().ran()).isEqualTo(Ran.UNKNOWN);
+    }
+
+    @Test
+    void paymentOfWhichNoByteWasWrittenIsSentToAnotherTarget() {
+        fixture.call("pay");
+        FleetEffect.StartAttempt first = fixture.only(FleetEffect.StartAttempt.class);
+
+        lose(first.attempt(), false);
+
+        assertThat(fixture.only(FleetEffect.StartAttempt.class).target().id())
+                .isNotEqualTo(first.target().id());
+    }
+
+    @Test
+    void paymentThatATargetStatesNotToHaveRunIsSentToAnotherTarget() {
+        fixture.call("pay");
+
+        fixture.answer(started(), 503, true);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void refusalStatusWithoutThatStatementIsNotPassedOnAsAPromise() {
+        fixture.call("pay");
+
+        fixture.answer(started(), 503, false);
+
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.TARGET_FAILED);
+        assertThat(fixture.all(FleetEffect.RelayAnswer.class)).isEmpty();
+    }
+
+    @Test
+    void failureOfAPaymentIsPassedOnAsItIs() {
+        fixture.call("pay");
+        AttemptId attempt = started();
+
+        fixture.answer(attempt, 500, false);
+
+        assertThat(fixture.only(FleetEffect.RelayAnswer.class).attempt()).isEqualTo(attempt);
+    }
+
+    @Test
+    void readThatFailsIsRepeatedAtAnotherTarget() {
+        fixture.call("read");
+
+        fixture.answer(started(), 500, false);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void readIsExecutedAtNoMoreTargetsThanTheRouteAllows() {
+        fixture.call("read");
+        fixture.answer(started(), 500, false);
+
+        fixture.answer(started(), 500, false);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+        assertThat(fixture.all(FleetEffect.RelayAnswer.class)).hasSize(1);
+    }
+
+    @Test
+    void streamThatBreaksIsResumedElsewhereIfItsRouteAllows() {
+        fixture.chat("letter", "m1");
+        AttemptId attempt = started();
+        fixture.answer(attempt, 200, false);
+
+        lose(attempt, true);
+
+        assertThat(fixture.only(FleetEffect.StartAttempt.class).resumable()).isTrue();
+    }
+
+    @Test
+    void otherStreamThatBreaksIsNotMadeToLookComplete() {
+        fixture.chat("chat", "m1");
+        AttemptId attempt = started();
+        fixture.answer(attempt, 200, false);
+
+        lose(attempt, true);
+
+        assertThat(fixture.all(FleetEffect.BreakAnswer.class)).hasSize(1);
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+    }
+
+    @Test
+    void newsOfAnEarlierAttemptChangesNothing() {
+        fixture.call("read");
+        AttemptId first = started();
+        fixture.answer(first, 500, false);
+
+        lose(first, true);
+
+        assertThat(fixture.effects).isEmpty();
+    }
+
+    @Test
+    void workOfACallerThatLeftIsCancelled() {
+        long request = fixture.chat("chat", "m1");
+        AttemptId attempt = started();
+
+        fixture.apply(new FleetEvent.CallerLeft(fixture.nowMillis, request));
+
+        assertThat(fixture.only(FleetEffect.CancelAttempt.class).attempt()).isEqualTo(attempt);
+        assertThat(fixture.state.requests()).isEmpty();
+        assertThat(fixture.state.targets().values())
+                .allMatch(target -> target.outstanding().isEmpty());
+    }
+
+    @Test
+    void paymentOfACallerThatLeftRunsToItsEnd() {
+        long request = fixture.call("pay");
+
+        fixture.apply(new FleetEvent.CallerLeft(fixture.nowMillis, request));
+
+        assertThat(fixture.all(FleetEffect.CancelAttempt.class)).isEmpty();
+    }
+
+    @Test
+    void requestWithoutAnswerEndsAtItsRoutesTimeoutAsUnknown() {
+        fixture.call("pay");
+
+        fixture.advance(4_000);
+
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.DEADLINE_EXCEEDED);
+        assertThat(refused().refusal().ran()).isEqualTo(Ran.UNKNOWN);
+        assertThat(fixture.all(FleetEffect.CancelAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void retriesStayWithinTheEntrysPartOfTheFleetsLimit() {
+        int retries = 0;
+        for (int request = 0; request < 100; request++) {
+            fixture.call("read");
+            if (!fixture.all(FleetEffect.StartAttempt.class).isEmpty()) {
+                lose(started(), true);
+                retries += fixture.all(FleetEffect.StartAttempt.class).size();
+            }
+        }
+
+        FleetBoundsView bounds = new FleetBoundsView();
+        assertThat(retries).isLessThanOrEqualTo((int) (bounds.slack() + 100 * bounds.ratio()));
+    }
+
+    private record FleetBoundsView() {
+        double slack() {
+            return FleetFixture.BOUNDS.retrySlack();
+        }
+
+        double ratio() {
+            return FleetFixture.BOUNDS.retryRatio();
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FeedFlowTest.java
@@ -0,0 +1,129 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.TargetDescription;
+import org.junit.jupiter.api.Test;
+
+class FeedFlowTest {
+    private final FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+
+    @Test
+    void startingEntryReadsTheNewestOfAllFeedsAndAnnouncesItself() {
+        FleetFixture starting = new FleetFixture();
+
+        starting.advance(0);
+
+        assertThat(starting.all(FleetEffect.ReadFeed.class))
+                .hasSize(Feed.values().length)
+                .allMatch(read -> read.fromOffset().isEmpty());
+        assertThat(starting.all(FleetEffect.Announce.class)).hasSize(1);
+    }
+
+    @Test
+    void configurationNeverGoesBack() {
+        fixture.configure(FleetFixture.configuration(7, FleetFixture.KEY));
+
+        fixture.configure(FleetFixture.configuration(6, FleetFixture.KEY));
+
+        assertThat(fixture.state.configuration().orElseThrow().version()).isEqualTo(7);
+    }
+
+    @Test
+    void afterItsHistoryIsGoneTheNewestEntriesAreReadAgain() {
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.CONFIGURATION, true));
+
+        fixture.advance(0);
+
+        assertThat(fixture.all(FleetEffect.ReadFeed.class))
+                .contains(new FleetEffect.ReadFeed(
+                        Feed.CONFIGURATION, OptionalLong.empty(), FleetTimings.CONFIGURATION_WAIT));
+    }
+
+    @Test
+    void removedTargetGetsNothingNew() {
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.TargetRemoved("e1"));
+
+        assertThat(fixture.state.targets()).isEmpty();
+    }
+
+    @Test
+    void targetThatLapsedDuringAnOutageIsKeptUntilItsEntryCanBeBack() {
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.TARGETS, false));
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.TargetRemoved("e1"));
+        assertThat(fixture.state.targets()).containsKey("e1");
+
+        fixture.advance(FleetTimings.LAPSE_GRACE);
+
+        assertThat(fixture.state.targets()).isEmpty();
+    }
+
+    @Test
+    void targetThatIsBackAfterAnOutageStays() {
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.TARGETS, false));
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.TargetRemoved("e1"));
+        fixture.list(FleetFixture.engine("e1", "m1"));
+
+        fixture.advance(FleetTimings.LAPSE_GRACE);
+
+        assertThat(fixture.state.targets()).containsKey("e1");
+    }
+
+    @Test
+    void targetMissingFromTheNewestEntriesIsGone() {
+        fixture.apply(new FleetEvent.FeedRead(
+                fixture.nowMillis,
+                Feed.TARGETS,
+                fixture.nowMillis,
+                true,
+                List.of(new FeedEntry.Target(FleetFixture.engine("e22", "m1"))),
+                9));
+
+        assertThat(fixture.state.targets().keySet()).containsExactly("e22");
+    }
+
+    @Test
+    void unreadableEntryIsNotedAndChangesNothing() {
+        FleetState before = fixture.state;
+
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.Unreadable("e9", "not JSON"));
+
+        assertThat(fixture.state.targets()).isEqualTo(before.targets());
+        assertThat(fixture.only(FleetEffect.Note.class).fields()).contains("e9", "not JSON");
+    }
+
+    @Test
+    void entryThatWasTakenForLostAnnouncesItselfAgain() {
+        fixture.apply(new FleetEvent.AnnouncementEnded(fixture.nowMillis, true));
+
+        fixture.read(Feed.MEMBERS, fixture.nowMillis, new FeedEntry.MemberRemoved(FleetFixture.SELF.id()));
+
+        assertThat(fixture.all(FleetEffect.Announce.class)).hasSize(1);
+    }
+
+    @Test
+    void restartedTargetStartsWithoutFormerAdapters() {
+        fixture.state = fixture.state.with(fixture.state.targets().get("e1").withAdapters(Map.of("m1", Set.of("a1"))));
+        var restarted = FleetFixture.engine("e1", "m1");
+
+        fixture.list(new TargetDescription(
+                restarted.id(),
+                restarted.service(),
+                restarted.address(),
+                restarted.zone(),
+                restarted.slots(),
+                false,
+                restarted.models(),
+                restarted.atHand(),
+                restarted.startedAtMillis() + 1,
+                0));
+
+        assertThat(fixture.state.targets().get("e1").adapters()).isEmpty();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -0,0 +1,209 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.CallerLimits;
+import org.jackdawbeam.model.fleet.CallerRequest;
+import org.jackdawbeam.model.fleet.EngineDefinition;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetBounds;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.ModelDefinition;
+import org.jackdawbeam.model.fleet.PromptPart;
+import org.jackdawbeam.model.fleet.Route;
+import org.jackdawbeam.model.fleet.RouteKind;
+import org.jackdawbeam.model.fleet.ServiceDefinition;
+import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.fleet.WeightedService;
+import org.jackdawbeam.model.fleet.Workspace;
+import org.jackdawbeam.model.request.AttemptId;
+
+/** One entry with a clock that only tests move, and what it has done. */
+final class FleetFixture {
+    static final FleetMember SELF = member("a");
+    static final FleetBounds BOUNDS = new FleetBounds(5_000, true, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5);
+    static final String KEY = "key";
+
+    final FleetReducer reducer = new FleetReducer();
+    FleetState state = FleetState.initial(SELF, BOUNDS);
+    long nowMillis = 100_000;
+    List<FleetEffect> effects = new ArrayList<>();
+    private long lastRequest;
+
+    static FleetMember member(String id) {
+        return new FleetMember(id, id + "/1", "zone-1", id + ":1", id + ":2");
+    }
+
+    /** Returns an entry that has read a configuration and the given targets. */
+    static FleetFixture serving(TargetDescription... targets) {
+        FleetFixture fixture = new FleetFixture();
+        fixture.configure(configuration(1, KEY));
+        fixture.list(targets);
+        return fixture;
+    }
+
+    static FleetConfiguration configuration(long version, String... keys) {
+        Workspace workspace = new Workspace("w", Set.of(keys), OptionalInt.empty(), 1_000, 1_000, true, 200);
+        Map<String, ModelDefinition> models = Map.of(
+                "m1", new ModelDefinition("m1", 70_000, 1_200, 60),
+                "m2", new ModelDefinition("m2", 70_000, 1_200, 60),
+                "m3", new ModelDefinition("m3", 70_000, 1_200, 60));
+        EngineDefinition engine = new EngineDefinition(64, 160_000, 200_000, 2, 2.4, models);
+        return FleetConfiguration.of(
+                version,
+                List.of(
+                        route("chat", RouteKind.STREAMING, false, 1),
+                        route("letter", RouteKind.STREAMING, true, 2),
+                        route("pay", RouteKind.UNSAFE, false, 1),
+                        route("read", RouteKind.SAFE, false, 2)),
+                List.of(
+                        new ServiceDefinition("engines", 300, Optional.of(engine)),
+                        new ServiceDefinition("payments", 100, Optional.empty())),
+                CallerLimits.defaults(),
+                List.of(workspace));
+    }
+
+    private static Route route(String name, RouteKind kind, boolean resumable, int attempts) {
+        String service = kind == RouteKind.STREAMING ? "engines" : "payments";
+        return new Route(
+                name,
+                "host",
+                "/" + name + "/",
+                kind,
+                4_000,
+                600,
+                1,
+                attempts,
+                false,
+                resumable,
+                List.of(new WeightedService(service, 1)));
+    }
+
+    static TargetDescription engine(String id, String... models) {
+        return new TargetDescription(
+                id, "engines", "10.0.0.1:" + id.length(), "zone-1", 64, false, Set.of(models), Set.of(), 7, 0);
+    }
+
+    static TargetDescription service(String id) {
+        return new TargetDescription(
+                id, "payments", "10.0.0.2:" + id.length(), "zone-1", 6, false, Set.of(), Set.of(), 7, 0);
+    }
+
+    List<FleetEffect> apply(FleetEvent event) {
+        Reduction reduction = reducer.apply(state, event);
+        state = reduction.state();
+        effects = reduction.effects();
+        return effects;
+    }
+
+    void configure(FleetConfiguration configuration) {
+        read(Feed.CONFIGURATION, nowMillis, new FeedEntry.Configuration(configuration));
+    }
+
+    void list(TargetDescription... targets) {
+        FeedEntry[] entries = new FeedEntry[targets.length];
+        for (int index = 0; index < targets.length; index++) {
+            entries[index] = new FeedEntry.Target(targets[index]);
+        }
+        read(Feed.TARGETS, nowMillis, entries);
+    }
+
+    void read(Feed feed, long askedAtMillis, FeedEntry... entries) {
+        apply(new FleetEvent.FeedRead(nowMillis, feed, askedAtMillis, false, List.of(entries), 1));
+    }
+
+    void advance(long millis) {
+        nowMillis += millis;
+        apply(new FleetEvent.Ticked(nowMillis));
+    }
+
+    /** Lets time pass with fresh reads of the configuration, as a reachable store gives them. */
+    void advanceInContact(long millis) {
+        for (long passed = 0; passed < millis; passed += 50) {
+            nowMillis += 50;
+            read(Feed.CONFIGURATION, nowMillis);
+            apply(new FleetEvent.Ticked(nowMillis));
+        }
+    }
+
+    void hear(String peer) {
+        FleetMember member = member(peer);
+        hear(new FleetMessage.Digest(peer, member, true, false, Optional.empty(), List.of(), List.of()));
+    }
+
+    void hear(FleetMessage message) {
+        apply(new FleetEvent.PeerReceived(nowMillis, message));
+    }
+
+    /** Takes the placement duty with the given token and tells what an engine reports. */
+    void takeDuty(long token) {
+        apply(new FleetEvent.LeadershipRead(nowMillis, 0, List.of(), 0));
+        apply(new FleetEvent.Ticked(nowMillis));
+        apply(new FleetEvent.LeadershipAppended(nowMillis, nowMillis, new FleetEvent.AppendResult.Appended(token - 1)));
+        apply(new FleetEvent.Ticked(nowMillis));
+    }
+
+    void renewDuty() {
+        long end = state.leadership().observedEnd().orElseThrow();
+        apply(new FleetEvent.LeadershipAppended(nowMillis, nowMillis, new FleetEvent.AppendResult.Appended(end)));
+    }
+
+    void report(String target, long orderCount, Set<String> models, Map<String, Set<String>> adapters) {
+        TargetReport report = new TargetReport(models, adapters, false, orderCount, 7);
+        apply(new FleetEvent.ReportRead(nowMillis, target, Optional.of(report)));
+    }
+
+    long arrive(String route, String key, Optional<String> model, Optional<String> adapter, long tokens) {
+        lastRequest++;
+        apply(new FleetEvent.RequestArrived(nowMillis, lastRequest, call(route, key, model, adapter, tokens)));
+        return lastRequest;
+    }
+
+    long chat(String route, String model) {
+        return arrive(route, KEY, Optional.of(model), Optional.empty(), 100);
+    }
+
+    long call(String route) {
+        return arrive(route, KEY, Optional.empty(), Optional.empty(), 0);
+    }
+
+    private CallerRequest call(
+            String route, String key, Optional<String> model, Optional<String> adapter, long tokens) {
+        return new CallerRequest(
+                "request-" + lastRequest,
+                "host",
+                "/" + route + "/x",
+                Optional.of(key),
+                4_000,
+                model,
+                adapter,
+                tokens,
+                0,
+                model.isPresent(),
+                List.of(new PromptPart(1, (int) tokens)));
+    }
+
+    void answer(AttemptId attempt, int status, boolean notExecuted) {
+        apply(new FleetEvent.AttemptAnswered(nowMillis, attempt, status, notExecuted, Optional.empty()));
+    }
+
+    <T extends FleetEffect> List<T> all(Class<T> type) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <T extends FleetEffect> T only(Class<T> type) {
+        List<T> found = all(type);
+        if (found.size() != 1) {
+            throw new AssertionError("expected one " + type.getSimpleName() + " in " + effects);
+        }
+        return found.getFirst();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -0,0 +1,184 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.OrderResponse;
+import org.jackdawbeam.model.log.OrderAction;
+import org.junit.jupiter.api.Test;
+
+class PlacementFlowTest {
+    private final FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+
+    PlacementFlowTest() {
+        fixture.takeDuty(4);
+        fixture.report("e1", 3, Set.of("m1"), Map.of("m1", Set.of()));
+    }
+
+    private long adapterRequest(String adapter) {
+        return fixture.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.of(adapter), 100);
+    }
+
+    private EngineOrder order() {
+        return fixture.only(FleetEffect.SendOrder.class).order();
+    }
+
+    private void answer(EngineOrder order, OrderResponse response) {
+        fixture.apply(new FleetEvent.OrderAnswered(fixture.nowMillis, order, response));
+    }
+
+    /** Lets an adapter arrive at the engine. */
+    private void loadAdapter(String adapter) {
+        adapterRequest(adapter);
+        answer(order(), OrderResponse.ACCEPTED);
+        fixture.nowMillis += 20;
+        fixture.apply(new FleetEvent.Woken(fixture.nowMillis));
+    }
+
+    @Test
+    void orderCarriesTokenAndExpectedCount() {
+        adapterRequest("a1");
+
+        assertThat(order().action()).isEqualTo(OrderAction.LOAD_ADAPTER);
+        assertThat(order().fencingToken()).isEqualTo(4);
+        assertThat(order().expectedCount()).isEqualTo(3);
+    }
+
+    @Test
+    void requestIsSentWhenItsAdapterHasArrived() {
+        adapterRequest("a1");
+        answer(order(), OrderResponse.ACCEPTED);
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+
+        fixture.nowMillis += 20;
+        fixture.apply(new FleetEvent.Woken(fixture.nowMillis));
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void engineGetsOneOrderAtATime() {
+        adapterRequest("a1");
+
+        adapterRequest("a2");
+
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+
+    @Test
+    void acceptedOrderCounts() {
+        adapterRequest("a1");
+        EngineOrder first = order();
+        adapterRequest("a2");
+
+        answer(first, OrderResponse.ACCEPTED);
+
+        assertThat(order().expectedCount()).isEqualTo(4);
+    }
+
+    @Test
+    void nothingIsOrderedBeyondTheAdapterPlaces() {
+        loadAdapter("a1");
+        loadAdapter("a2");
+
+        adapterRequest("a3");
+
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+
+    @Test
+    void adapterThatNobodyUsesMakesWay() {
+        loadAdapter("a1");
+        loadAdapter("a2");
+        fixture.state = fixture.state.withRequests(
+                fixture.state.requests().minusAll(fixture.state.requests().keySet()));
+        fixture.advanceInContact(500);
+        fixture.renewDuty();
+
+        adapterRequest("a3");
+
+        assertThat(order().action()).isEqualTo(OrderAction.UNLOAD_ADAPTER);
+    }
+
+    @Test
+    void adapterStaysCountedWhenARequestWasRejectedForIt() {
+        loadAdapter("a1");
+        loadAdapter("a2");
+        fixture.answer(fixture.only(FleetEffect.StartAttempt.class).attempt(), 421, true);
+
+        adapterRequest("a3");
+
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+
+    @Test
+    void unansweredOrderIsFollowedByAReportBeforeTheNextOrder() {
+        adapterRequest("a1");
+
+        answer(order(), OrderResponse.UNKNOWN);
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+        fixture.nowMillis += 200;
+        fixture.apply(new FleetEvent.Woken(fixture.nowMillis));
+
+        assertThat(fixture.only(FleetEffect.ReadReport.class).target()).isEqualTo("e1");
+    }
+
+    @Test
+    void entryThatWasFencedOrdersNothingMore() {
+        adapterRequest("a1");
+
+        answer(order(), OrderResponse.FENCED);
+
+        adapterRequest("a2");
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+        assertThat(fixture.state.leadership().fencingToken()).isEmpty();
+    }
+
+    @Test
+    void missingModelThatIsAskedForIsLoaded() {
+        fixture.advanceInContact(500);
+        fixture.renewDuty();
+        fixture.chat("chat", "m2");
+
+        fixture.advance(200);
+
+        assertThat(order().action()).isEqualTo(OrderAction.LOAD_MODEL);
+        assertThat(order().model()).isEqualTo("m2");
+    }
+
+    @Test
+    void everybodyLearnsWhichModelIsAboutToGo() {
+        FleetFixture full = FleetFixture.serving(FleetFixture.engine("e1", "m1", "m2"));
+        full.hear("b");
+        full.takeDuty(4);
+        full.report("e1", 3, Set.of("m1", "m2"), Map.of());
+        full.advanceInContact(500);
+        full.renewDuty();
+        full.hear("b");
+        full.chat("chat", "m3");
+
+        full.advance(200);
+
+        assertThat(full.only(FleetEffect.SendOrder.class).order().action()).isEqualTo(OrderAction.UNLOAD_MODEL);
+        String dropped = full.only(FleetEffect.SendOrder.class).order().model();
+        assertThat(full.all(FleetEffect.SendPeerMessage.class))
+                .anyMatch(sent -> sent.message() instanceof FleetMessage.Residency residency
+                        && residency.unloading().contains(dropped));
+        assertThat(full.state.targets().get("e1").holds(dropped, Optional.empty()))
+                .isFalse();
+    }
+
+    @Test
+    void reportOlderThanTheKnownCountDoesNotForgetAnAdapter() {
+        loadAdapter("a1");
+
+        fixture.report("e1", 3, Set.of("m1"), Map.of("m1", Set.of()));
+
+        assertThat(fixture.state.targets().get("e1").holds("m1", Optional.of("a1")))
+                .isTrue();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuotaFlowTest.java
@@ -0,0 +1,104 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.jackdawbeam.logic.fleet.QuotaFlow.Verdict;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.Workspace;
+import org.junit.jupiter.api.Test;
+
+class QuotaFlowTest {
+    private static final Workspace WORKSPACE =
+            new Workspace("w", Set.of(), OptionalInt.empty(), 1_000, 1_000, true, 200);
+    private final QuotaFlow quota = new QuotaFlow();
+
+    /** Takes units wherever the entry may, and returns how many were granted. */
+    private double takeAll(FleetFixture fixture, double units, long millis) {
+        double granted = 0;
+        for (long passed = 0; passed < millis; passed += 10) {
+            fixture.nowMillis += 10;
+            QuotaFlow.Decision decision = quota.take(fixture.state, WORKSPACE, units, 9, fixture.nowMillis);
+            fixture.state = decision.state();
+            granted += decision.verdict() instanceof Verdict.Granted ? units : 0;
+        }
+        return granted;
+    }
+
+    @Test
+    void lonelyEntryGivesOutRateAndBurstAndNotMore() {
+        FleetFixture fixture = FleetFixture.serving();
+
+        double granted = takeAll(fixture, 50, 8_000);
+
+        assertThat(granted).isBetween(8_000.0, 9_000.0);
+    }
+
+    @Test
+    void entriesThatDoNotSeeEachOtherGiveOutTheRateOnceBetweenThem() {
+        double granted = 0;
+        for (int half = 0; half < 2; half++) {
+            FleetFixture fixture = FleetFixture.serving();
+            fixture.read(Feed.MEMBERS, fixture.nowMillis, new FeedEntry.Member(FleetFixture.member("b")));
+            granted += takeAll(fixture, 50, 8_000);
+        }
+
+        assertThat(granted).isLessThanOrEqualTo(9_000);
+    }
+
+    @Test
+    void requestLargerThanTheBurstIsAdmittedFromAFullBucketAndPaidLater() {
+        FleetFixture fixture = FleetFixture.serving();
+
+        double granted = takeAll(fixture, 5_000, 20_000);
+
+        assertThat(granted).isBetween(15_000.0, 25_000.0);
+    }
+
+    @Test
+    void allEntriesAgreeOnWhoCounts() {
+        List<String> members = List.of("a", "b", "c", "d");
+        List<String> answers = new ArrayList<>();
+        for (String self : members) {
+            FleetFixture fixture = new FleetFixture();
+            fixture.state = FleetState.initial(FleetFixture.member(self), FleetFixture.BOUNDS);
+            members.stream().filter(member -> !member.equals(self)).forEach(fixture::hear);
+            Verdict verdict = quota.take(fixture.state, WORKSPACE, 1, 0, fixture.nowMillis)
+                    .verdict();
+            answers.add(
+                    verdict instanceof Verdict.Elsewhere elsewhere
+                            ? elsewhere.peer().member().id()
+                            : self);
+        }
+
+        assertThat(answers).containsOnly(answers.getFirst());
+    }
+
+    @Test
+    void denialTellsWhenThereWillBeEnough() {
+        FleetFixture fixture = FleetFixture.serving();
+        takeAll(fixture, 50, 2_000);
+
+        Verdict verdict =
+                quota.take(fixture.state, WORKSPACE, 500, 0, fixture.nowMillis).verdict();
+
+        assertThat(verdict).isInstanceOf(Verdict.Denied.class);
+        assertThat(((Verdict.Denied) verdict).retryAfterMillis()).isBetween(300L, 500L);
+    }
+
+    @Test
+    void unitsOfARequestThatDidNotRunComeBack() {
+        FleetFixture fixture = FleetFixture.serving();
+        takeAll(fixture, 10, 2_000);
+        double before = fixture.state.buckets().get("w").balance();
+
+        fixture.hear(new FleetMessage.QuotaReturn("b", "w", 300));
+
+        assertThat(fixture.state.buckets().get("w").balance()).isEqualTo(before + 300);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
@@ -0,0 +1,162 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.logic.fleet.ReplicaPlanner.Engine;
+import org.jackdawbeam.logic.fleet.ReplicaPlanner.Move;
+import org.jackdawbeam.logic.fleet.ReplicaPlanner.Need;
+import org.jackdawbeam.model.fleet.EngineDefinition;
+import org.jackdawbeam.model.fleet.ModelDefinition;
+import org.junit.jupiter.api.Test;
+
+/** Load patterns of the heaviest days: a hot model, demand that moves on, rare models beside busy ones. */
+class ReplicaPlannerTest {
+    private static final double HOT = 60_000;
+    private static final double RARE = 1_000;
+
+    private static EngineDefinition definition(int models) {
+        Map<String, ModelDefinition> byName = new HashMap<>();
+        for (int number = 0; number < models; number++) {
+            byName.put("m" + number, new ModelDefinition("m" + number, 72_700, 1_200, 66));
+        }
+        return new EngineDefinition(64, 150_000, 200_000, 5, 2.1, byName);
+    }
+
+    private static Engine engine(int number, String... models) {
+        return new Engine("e" + number, Set.of(models), true, Optional.empty(), Set.of());
+    }
+
+    private static Need need(double tokensPerSecond) {
+        return new Need(tokensPerSecond, 0);
+    }
+
+    private static Optional<Move> plan(EngineDefinition definition, List<Engine> engines, Map<String, Need> needs) {
+        return new ReplicaPlanner(definition, engines, needs, true).plan();
+    }
+
+    /** Carries out moves, each at once, until there are none; fails if they do not end. */
+    private static List<Engine> settle(EngineDefinition definition, List<Engine> start, Map<String, Need> needs) {
+        List<Engine> engines = new ArrayList<>(start);
+        for (int moves = 0; moves < 200; moves++) {
+            Optional<Move> move = plan(definition, engines, needs);
+            if (move.isEmpty()) {
+                return engines;
+            }
+            engines.replaceAll(engine -> engine.id().equals(move.get().engine()) ? after(engine, move.get()) : engine);
+        }
+        throw new AssertionError("the plan does not settle");
+    }
+
+    private static Engine after(Engine engine, Move move) {
+        Set<String> models = new HashSet<>(engine.models());
+        switch (move) {
+            case Move.Load load -> models.add(load.model());
+            case Move.Unload unload -> models.remove(unload.model());
+        }
+        return new Engine(engine.id(), Set.copyOf(models), true, Optional.empty(), Set.of());
+    }
+
+    private static long replicas(List<Engine> engines, String model) {
+        return engines.stream()
+                .filter(engine -> engine.models().contains(model))
+                .count();
+    }
+
+    @Test
+    void modelWithoutReplicaThatIsWaitedForGoesFirst() {
+        List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m0"));
+
+        Optional<Move> move = plan(definition(3), engines, Map.of("m0", need(HOT), "m1", new Need(RARE, 3)));
+
+        assertThat(move)
+                .hasValueSatisfying(
+                        found -> assertThat(((Move.Load) found).model()).isEqualTo("m1"));
+    }
+
+    @Test
+    void hotModelDisplacesModelsThatNobodyAsksFor() {
+        List<Engine> engines =
+                List.of(engine(0, "m0", "m1"), engine(1, "m2", "m3"), engine(2, "m4", "m5"), engine(3, "m6", "m7"));
+
+        List<Engine> settled = settle(definition(8), engines, Map.of("m0", need(HOT)));
+
+        assertThat(replicas(settled, "m0")).isEqualTo(4);
+    }
+
+    @Test
+    void hotModelLeavesRareModelsThatAreAskedForOneReplica() {
+        List<Engine> engines = new ArrayList<>();
+        Map<String, Need> needs = new HashMap<>(Map.of("m0", need(HOT)));
+        for (int number = 0; number < 6; number++) {
+            engines.add(engine(number, "m0", "m" + (number + 1)));
+            needs.put("m" + (number + 1), need(RARE));
+        }
+
+        List<Engine> settled = settle(definition(7), engines, needs);
+
+        for (int number = 1; number <= 6; number++) {
+            assertThat(replicas(settled, "m" + number)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void demandThatMovesOnTakesItsReplicasAlong() {
+        EngineDefinition definition = definition(6);
+        List<Engine> engines =
+                List.of(engine(0, "m0", "m1"), engine(1, "m0", "m2"), engine(2, "m0", "m3"), engine(3, "m0", "m4"));
+
+        List<Engine> settled = settle(definition, engines, Map.of("m0", need(RARE), "m1", need(HOT)));
+
+        assertThat(replicas(settled, "m1")).isGreaterThanOrEqualTo(3);
+        assertThat(replicas(settled, "m0")).isPositive();
+    }
+
+    @Test
+    void twoModelsDoNotDisplaceEachOtherInTurn() {
+        List<Engine> engines = List.of(engine(0, "m0", "m1"), engine(1, "m2", "m3"));
+        Map<String, Need> needs =
+                Map.of("m0", need(9_000), "m1", need(8_000), "m2", need(9_500), "m3", need(8_500), "m4", need(8_200));
+
+        assertThat(settle(definition(5), engines, needs)).hasSize(2);
+    }
+
+    @Test
+    void nothingIsLoadedBeyondTheMemoryOfAnEngine() {
+        List<Engine> settled =
+                settle(definition(3), List.of(engine(0)), Map.of("m0", need(HOT), "m1", need(HOT), "m2", need(HOT)));
+
+        assertThat(settled.getFirst().models()).hasSize(2);
+    }
+
+    @Test
+    void memoryForAdaptersIsKeptFree() {
+        EngineDefinition tight =
+                new EngineDefinition(64, 150_000, 145_600, 5, 2.1, definition(2).models());
+
+        assertThat(ReplicaPlanner.fits(tight, Set.of("m0"), "m1")).isFalse();
+    }
+
+    @Test
+    void exhaustedWeightStoreLeavesLoadsThatAreAtHand() {
+        Engine withCopy = new Engine("e1", Set.of(), true, Optional.empty(), Set.of("m0"));
+        ReplicaPlanner planner = new ReplicaPlanner(
+                definition(2), List.of(engine(0), withCopy), Map.of("m0", need(HOT), "m1", need(HOT)), false);
+
+        assertThat(planner.plan()).contains(new Move.Load("e1", "m0"));
+    }
+
+    @Test
+    void engineThatIsCarryingOutAnOrderIsLeftAlone() {
+        Engine occupied = new Engine("e0", Set.of(), false, Optional.of("m1"), Set.of());
+
+        assertThat(plan(definition(2), List.of(occupied), Map.of("m0", need(HOT))))
+                .isEmpty();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
@@ -0,0 +1,160 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.refusal.Ran;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.junit.jupiter.api.Test;
+
+class RequestFlowTest {
+    private static RefusalCode refusal(FleetFixture fixture) {
+        return fixture.only(FleetEffect.RefuseRequest.class).refusal().code();
+    }
+
+    @Test
+    void requestGoesToAnEngineThatHoldsItsModel() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"), FleetFixture.engine("e22", "m2"));
+
+        fixture.chat("chat", "m2");
+
+        FleetEffect.StartAttempt start = fixture.only(FleetEffect.StartAttempt.class);
+        assertThat(start.target().id()).isEqualTo("e22");
+        assertThat(start.workspace()).contains("w");
+        assertThat(start.deadlineMillis()).isEqualTo(4_000);
+    }
+
+    @Test
+    void entryWithoutConfigurationAsksTheCallerToComeBack() {
+        FleetFixture fixture = new FleetFixture();
+
+        fixture.call("pay");
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.NOT_READY);
+    }
+
+    @Test
+    void unknownRouteIsRefused() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.service("s1"));
+
+        fixture.call("elsewhere");
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.ROUTE_UNKNOWN);
+    }
+
+    @Test
+    void unknownKeyIsRefused() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.service("s1"));
+
+        fixture.arrive("pay", "another", Optional.empty(), Optional.empty(), 0);
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.KEY_UNKNOWN);
+    }
+
+    @Test
+    void modelThatIsNotConfiguredIsRefusedAtOnce() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+
+        fixture.chat("chat", "m9");
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.MODEL_UNKNOWN);
+    }
+
+    @Test
+    void keyedRequestIsRefusedWhenAWithdrawalCouldHaveBeenMissed() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.service("s1"));
+        fixture.nowMillis += FleetFixture.BOUNDS.revokeMillis() - FleetTimings.REVOKE_MARGIN;
+
+        fixture.call("pay");
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.HOST_ISOLATED);
+        assertThat(fixture.only(FleetEffect.RefuseRequest.class).refusal().ran())
+                .isEqualTo(Ran.NO);
+    }
+
+    @Test
+    void freshnessCountsFromTheSendingOfTheRead() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.service("s1"));
+        long askedAt = fixture.nowMillis;
+        fixture.nowMillis += 3_000;
+        fixture.read(Feed.CONFIGURATION, askedAt);
+        fixture.nowMillis += 1_400;
+
+        fixture.call("pay");
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.HOST_ISOLATED);
+    }
+
+    @Test
+    void requestThatWaitsWhenItsKeyIsWithdrawnDoesNotRun() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        fixture.chat("chat", "m2");
+
+        fixture.configure(FleetFixture.configuration(2));
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.KEY_WITHDRAWN);
+    }
+
+    @Test
+    void requestIsSentOnlyAfterTheEntryThatCountsHasGrantedIt() {
+        FleetFixture fixture = askingElsewhere();
+        long request = fixture.call("pay");
+        FleetEffect.SendPeerMessage question = fixture.only(FleetEffect.SendPeerMessage.class);
+        assertThat(question.message()).isInstanceOf(FleetMessage.QuotaQuestion.class);
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, true, 0));
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void secondAnswerForTheSameRequestChangesNothing() {
+        FleetFixture fixture = askingElsewhere();
+        long request = fixture.call("pay");
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, true, 0));
+
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, true, 0));
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+    }
+
+    @Test
+    void requestOverTheRateIsToldWhenToComeBack() {
+        FleetFixture fixture = askingElsewhere();
+        long request = fixture.call("pay");
+
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, false, 700));
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.OVER_RATE);
+        assertThat(fixture.only(FleetEffect.RefuseRequest.class).refusal().retryAfterMillis())
+                .hasValue(700);
+    }
+
+    @Test
+    void nextEntryIsAskedWhenTheOneThatCountsIsSilent() {
+        FleetFixture fixture = askingElsewhere();
+        fixture.call("pay");
+
+        fixture.advance(FleetTimings.QUOTA_ANSWER);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    /** Returns an entry with one peer that counts the workspace. */
+    private static FleetFixture askingElsewhere() {
+        for (String peer : new String[] {"b", "c", "d", "e", "f"}) {
+            FleetFixture fixture = FleetFixture.serving(FleetFixture.service("s1"));
+            fixture.hear(peer);
+            fixture.call("pay");
+            if (fixture.all(FleetEffect.StartAttempt.class).isEmpty()) {
+                FleetFixture fresh = FleetFixture.serving(FleetFixture.service("s1"));
+                fresh.hear(peer);
+                return fresh;
+            }
+        }
+        throw new AssertionError("every workspace is counted here");
+    }
+}
