Refuse requests at once when the queue at the best engine is longer than their objective

Cause: in overload everybody was answered late; callers left after 2.4 s with their prompts read in vain.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -17,7 +17,6 @@
     private static final long WISH_AGAIN_MILLIS = 400; // a lost wish is repeated well before a caller gives up
     private static final long LEAST_USEFUL_MILLIS = 150; // a prompt is not read in less
     private static final long LONGEST_RETRY_MILLIS = 1_500; // queues at engines are shorter than that
-    private static final double LATEST_OBJECTIVES = Double.parseDouble(System.getProperty("latest", "2"));
     private static final int LOWEST_PRIORITY = 9; // the lowest rank that engines know
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
@@ -67,7 +66,7 @@
             return refuseUnserved(
                     state, request, RefusalCode.NO_CAPACITY, "all targets have failed it", nowMillis, effects);
         }
-        if (choice.isPresent() && engine && isHopeless(request, choice.get(), nowMillis)) {
+        if (choice.isPresent() && engine && isQueueTooLong(request, choice.get())) {
             long excess = choice.get().estimateMillis() - request.route().objectiveMillis();
             Refusal refusal =
                     refusal(request, RefusalCode.QUEUE_FULL, Math.clamp(excess, RETRY_MILLIS, LONGEST_RETRY_MILLIS));
@@ -86,13 +85,11 @@
     }
 
     /**
-     * Returns whether the first token would come so late that the caller is better off coming back. A queue that is
-     * longer makes everybody late and serves nobody more.
+     * Returns whether the queue at the best engine is longer than the objective. A longer queue makes everybody late and
+     * serves nobody more; the caller is better off coming back.
      */
-    private static boolean isHopeless(FleetRequest request, TargetChooser.Choice choice, long nowMillis) {
-        long waited = nowMillis - request.arrivedAtMillis();
-        long latest = (long) (LATEST_OBJECTIVES * request.route().objectiveMillis());
-        return waited + choice.estimateMillis() > latest;
+    private static boolean isQueueTooLong(FleetRequest request, TargetChooser.Choice choice) {
+        return choice.estimateMillis() > request.route().objectiveMillis();
     }
 
     /** Sends waiting requests whose replica has come, and refuses those whose time is running out. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -188,7 +188,7 @@
                 tokens,
                 0,
                 model.isPresent(),
-                List.of(new PromptPart(1, (int) tokens)));
+                List.of(new PromptPart(lastRequest, (int) tokens)));
     }
 
     void answer(AttemptId attempt, int status, boolean notExecuted) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
@@ -110,6 +110,21 @@
         assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
     }
 
+    @Test
+    void requestIsRefusedAtOnceWhenTheQueueIsLongerThanItsObjective() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        for (int busy = 0; busy < 10; busy++) {
+            fixture.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.empty(), 2_000);
+            fixture.state = fixture.state.with("w", new QuotaBucket(1_000, fixture.nowMillis));
+        }
+
+        fixture.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.empty(), 2_000);
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.QUEUE_FULL);
+        assertThat(fixture.only(FleetEffect.RefuseRequest.class).refusal().retryAfterMillis())
+                .isPresent();
+    }
+
     @Test
     void secondAnswerForTheSameRequestChangesNothing() {
         FleetFixture fixture = askingElsewhere();
