--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/StandInMain.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/StandInMain.java
@@ -1,6 +1,8 @@
 package org.jackdawbeam.standin;
 
 import org.jackdawbeam.standin.engine.EngineCommand;
+import org.jackdawbeam.standin.fleet.FleetCommand;
+import org.jackdawbeam.standin.fleet.FleetSampleCommand;
 import org.jackdawbeam.standin.load.LoadCommand;
 import org.jackdawbeam.standin.platform.PlatformCommand;
 import org.jackdawbeam.standin.service.ServiceCommand;
@@ -19,7 +21,9 @@
             ServiceCommand.class,
             LoadCommand.class,
             SampleCommand.class,
-            AwaitCommand.class
+            AwaitCommand.class,
+            FleetCommand.class,
+            FleetSampleCommand.class
         })
 public final class StandInMain {
 
--- /dev/null
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetCommand.java
@@ -0,0 +1,41 @@
+package org.jackdawbeam.standin.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.jackdawbeam.standin.StandInServer;
+import org.tinylog.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a store, engines and services on the platform's wire, and writes settings files for entries. */
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        description = "A small deployment on the platform's wire, without the entries.")
+public final class FleetCommand implements Callable<Integer> {
+    private static final int PORTS_PER_ENTRY = 10;
+
+    @Option(names = "--store-port", defaultValue = "17500", description = "Port of the store (${DEFAULT-VALUE}).")
+    private int storePort;
+
+    @Option(names = "--entries", defaultValue = "3", description = "Settings files to write (${DEFAULT-VALUE}).")
+    private int entries;
+
+    @Option(names = "--settings-folder", required = true, description = "Where settings files go.")
+    private Path folder;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        try (FleetSite site = new FleetSite(storePort)) {
+            for (int number = 1; number <= entries; number++) {
+                int port = storePort + PORTS_PER_ENTRY * number;
+                Files.writeString(folder.resolve("entry-" + number + ".toml"), site.settings("entry-" + number, port));
+            }
+            Logger.info("event=fleet_started store=127.0.0.1:{} entries={}", site.storePort(), entries);
+            StandInServer.awaitStop();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSampleCommand.java
@@ -0,0 +1,65 @@
+package org.jackdawbeam.standin.fleet;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Asks an entry for addresses and sends one request of each kind. */
+@Command(
+        name = "fleet-sample",
+        mixinStandardHelpOptions = true,
+        description = "Sends sample requests to entries on the platform's wire; exits with 1 if any fails.")
+public final class FleetSampleCommand implements Callable<Integer> {
+    private static final Duration TIMEOUT = Duration.ofSeconds(6);
+
+    @Option(names = "--directory", required = true, description = "IP:port of an entry's directory.")
+    private String directory;
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private int failures;
+
+    /** What is expected of a sample request. */
+    private record Sample(String name, String path, String key, String model, int status, String content) {}
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        HttpResponse<String> resolved = client.send(
+                HttpRequest.newBuilder(URI.create("http://" + directory + "/v1/resolve?name=" + FleetSite.HOST))
+                        .timeout(TIMEOUT)
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        System.out.println("resolve: " + resolved.body());
+        String address = resolved.body().replaceAll(".*\\[\"([0-9.:]+)\".*", "$1");
+        send(address, new Sample("stream", "/chat/1", FleetSite.KEY, "small", 200, "token 6"));
+        send(address, new Sample("stream with an adapter", "/chat/2", FleetSite.KEY, "large/a1", 200, "token 6"));
+        send(address, new Sample("model that must be loaded", "/letter/3", FleetSite.KEY, "rare", 200, "token 6"));
+        send(address, new Sample("payment", "/pay/4", FleetSite.KEY, "", 200, "done"));
+        send(address, new Sample("read", "/read/5", FleetSite.KEY, "", 200, "done"));
+        send(address, new Sample("unknown key", "/pay/6", "wrong", "", 401, ""));
+        send(address, new Sample("unknown route", "/nowhere/7", FleetSite.KEY, "", 404, ""));
+        return failures == 0 ? 0 : 1;
+    }
+
+    private void send(String address, Sample sample) throws IOException, InterruptedException {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + sample.path()))
+                .timeout(TIMEOUT)
+                .header("Request-Id", UUID.randomUUID().toString())
+                .header("Deadline-Ms", "5000")
+                .header("Api-Key", sample.key())
+                .POST(HttpRequest.BodyPublishers.ofString("sample"));
+        if (!sample.model().isEmpty()) {
+            request.header("Model", sample.model()).header("Token-Count", "100,20");
+        }
+        HttpResponse<String> answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        boolean passed = answer.statusCode() == sample.status() && answer.body().contains(sample.content());
+        failures += passed ? 0 : 1;
+        System.out.println((passed ? "passed: " : "FAILED: ") + sample.name() + ", status " + answer.statusCode());
+    }
+}
--- /dev/null
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -0,0 +1,169 @@
+package org.jackdawbeam.standin.fleet;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jackdawbeam.net.http.HttpExchange;
+import org.jackdawbeam.standin.StandInServer;
+
+/** A small deployment around entries: a store, three model engines, two plain services and a configuration. */
+public final class FleetSite implements AutoCloseable {
+    /** Host name of all routes. */
+    public static final String HOST = "127.0.0.1";
+    /** Key of the only workspace. */
+    public static final String KEY = "quickstart-key";
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final long LIST_MILLIS = 250;
+    private static final int THREADS = 2;
+
+    private final List<StandInServer> servers = new ArrayList<>();
+    private final List<TargetStandIn> targets = new ArrayList<>();
+    private final Set<Integer> crashed = ConcurrentHashMap.newKeySet();
+    private final TargetLedger ledger = new TargetLedger();
+    private final LogStoreStandIn store;
+    private final StandInServer storeServer;
+
+    public FleetSite(int storePort) {
+        StoreHolder holder = new StoreHolder();
+        this.storeServer = new StandInServer(new InetSocketAddress(LOOPBACK, storePort), THREADS, holder::handle);
+        this.store = new LogStoreStandIn(storeServer.group());
+        holder.store = store;
+        addTarget("engine-1", "engines", Set.of("small", "large"), true);
+        addTarget("engine-2", "engines", Set.of("small"), true);
+        addTarget("engine-3", "engines", Set.of("large"), true);
+        addTarget("service-1", "payments", Set.of(), false);
+        addTarget("service-2", "payments", Set.of(), false);
+        configure(1, KEY);
+        storeServer.group().scheduleAtFixedRate(this::list, 0, LIST_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Passes calls on to a store that needs the timers of its own server. */
+    private static final class StoreHolder {
+        private volatile LogStoreStandIn store;
+
+        private void handle(HttpExchange exchange) {
+            if (store == null) {
+                exchange.abort();
+            } else {
+                store.handle(exchange);
+            }
+        }
+    }
+
+    /** Returns the store. */
+    public LogStoreStandIn store() {
+        return store;
+    }
+
+    /** Returns the port of the store. */
+    public int storePort() {
+        return storeServer.port();
+    }
+
+    /** Returns what the targets have executed. */
+    public TargetLedger ledger() {
+        return ledger;
+    }
+
+    /** Returns the targets, engines first. */
+    public List<TargetStandIn> targets() {
+        return List.copyOf(targets);
+    }
+
+    /** Stops a target without a word. */
+    public void crash(int number) {
+        crashed.add(number);
+        servers.get(number).close();
+    }
+
+    /** Puts a configuration in force in which only the given key is valid; an empty key withdraws all. */
+    public void configure(long version, String key) {
+        store.put("keyed.op", "config", configuration(version, key).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the settings of an entry with ports from the given one on. */
+    public String settings(String name, int port) {
+        return """
+                nodeName = "%s"
+                ip = "127.0.0.1"
+                zone = "zone-1"
+                portRange = [%d, %d]
+                [listen]
+                directory = "127.0.0.1:%d"
+                ready = "127.0.0.1:%d"
+                front = "127.0.0.1:%d"
+                [limits]
+                memoryMb = 430
+                [bounds]
+                revokeMs = 5000
+                leaseMs = 3000
+                fenceChecked = true
+                graceS = 8
+                retryBudgetRatio = 0.2
+                retrySlack = 56
+                budgetWindowS = 10
+                ceilingWindowS = 5
+                ttl_max_s = 5
+                [platform]
+                address = "127.0.0.1:%d"
+                """.formatted(name, port, port + 1, port + 2, port + 3, port + 4, storePort());
+    }
+
+    @Override
+    public void close() {
+        for (int number = 0; number < servers.size(); number++) {
+            if (!crashed.contains(number)) {
+                servers.get(number).close();
+            }
+        }
+        storeServer.close();
+    }
+
+    private void addTarget(String id, String service, Set<String> models, boolean engine) {
+        TargetStandIn target = new TargetStandIn(id, service, "zone-1", models, engine, ledger, storeServer.group());
+        servers.add(new StandInServer(new InetSocketAddress(LOOPBACK, 0), THREADS, target));
+        targets.add(target);
+    }
+
+    private void list() {
+        for (int number = 0; number < targets.size(); number++) {
+            String address = LOOPBACK + ":" + servers.get(number).port();
+            TargetStandIn target = targets.get(number);
+            if (crashed.contains(number)) {
+                continue;
+            }
+            store.put("keyed.servers", target.id(), target.entry(address));
+        }
+    }
+
+    private static String configuration(long version, String key) {
+        return """
+                {"version":%d,"routes":[%s,%s,%s,%s],
+                 "services":[{"name":"engines","healthPath":"/health","maxConns":300,"engine":{"slots":64,
+                   "kvCapacity":160000,"weightsMb":200000.0,"adapterSlots":2,"loadsPerS":2.0,"models":[
+                   {"name":"small","weightsMb":40000.0,"loadTimeS":0.3,"adapters":4,"adapterMb":40.0},
+                   {"name":"large","weightsMb":70000.0,"loadTimeS":0.3,"adapters":4,"adapterMb":60.0},
+                   {"name":"rare","weightsMb":70000.0,"loadTimeS":0.3,"adapters":0,"adapterMb":60.0}]}},
+                  {"name":"payments","healthPath":"/health","maxConns":100}],
+                 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+                 "tenants":[{"name":"household","apiKeys":[%s],"unit":"token_rate","plainTokens":200,
+                   "ratePerS":100000,"burst":100000}]}""".formatted(
+                        version,
+                        route("chat", "streaming", false, "engines"),
+                        route("letter", "streaming", true, "engines"),
+                        route("pay", "unsafe", false, "payments"),
+                        route("read", "safe", false, "payments"),
+                        key.isEmpty() ? "" : "\"" + key + "\"");
+    }
+
+    private static String route(String name, String kind, boolean resumable, String service) {
+        return """
+                {"name":"%s","host":"%s","pathPrefix":"/%s/","kind":"%s","timeoutMs":5000,"aimMs":600,"priority":1,
+                 "maxAttempts":2,"public":false,"resumable":%s,"service":"%s"}""".formatted(name, HOST, name, kind, resumable, service);
+    }
+}
--- /dev/null
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
@@ -0,0 +1,208 @@
+package org.jackdawbeam.standin.fleet;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.jackdawbeam.net.codec.MessageMapper;
+import org.jackdawbeam.net.http.HttpExchange;
+import org.jackdawbeam.net.http.HttpExchangeHandler;
+
+/** A model engine, or a plain service, on the platform's wire. Methods run on the threads of its server. */
+public final class TargetStandIn implements HttpExchangeHandler {
+    private static final long LOAD_MILLIS = 300;
+    private static final long EVENT_MILLIS = 15;
+    private static final int EVENTS = 6;
+    private static final Map<String, String> NO_HEADERS = Map.of();
+
+    private final String id;
+    private final String service;
+    private final String zone;
+    private final boolean engine;
+    private final TargetLedger ledger;
+    private final EventLoopGroup timers;
+    private final MessageMapper json = MessageMapper.json();
+    private final long startedAtMillis = System.currentTimeMillis();
+    private final Map<String, Set<String>> adaptersByModel = new TreeMap<>();
+    private long orderCount;
+    private boolean busy;
+    private boolean draining;
+    private long highestToken;
+    private int running;
+
+    public TargetStandIn(
+            String id,
+            String service,
+            String zone,
+            Set<String> models,
+            boolean engine,
+            TargetLedger ledger,
+            EventLoopGroup timers) {
+        this.id = id;
+        this.service = service;
+        this.zone = zone;
+        this.engine = engine;
+        this.ledger = ledger;
+        this.timers = timers;
+        models.forEach(model -> adaptersByModel.put(model, new HashSet<>()));
+    }
+
+    /** Returns the name of this start. */
+    public String id() {
+        return id;
+    }
+
+    /** Says from now on that it is leaving. */
+    public synchronized void drain() {
+        draining = true;
+    }
+
+    /** Returns what the target says of itself in the store. */
+    public synchronized byte[] entry(String address) {
+        Map<String, Object> entry = new LinkedHashMap<>();
+        entry.put("service", service);
+        entry.put("address", address);
+        entry.put("zone", zone);
+        entry.put("version", "v1");
+        entry.put("slots", 64);
+        entry.put("state", draining ? "draining" : "ready");
+        entry.put("coldLeftMs", 0);
+        entry.put("models", models());
+        entry.put("seq", orderCount);
+        entry.put("born", startedAtMillis);
+        return json.write(entry);
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        switch (exchange.path()) {
+            case "/v1/report" -> exchange.respond(200, "application/json", report(), NO_HEADERS);
+            case "/v1/order" -> order(exchange);
+            default -> execute(exchange);
+        }
+    }
+
+    private synchronized byte[] report() {
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("stage", "both");
+        report.put("models", models());
+        report.put("busy", busy);
+        report.put("seq", orderCount);
+        report.put("queued", 0);
+        report.put("running", running);
+        report.put("born", startedAtMillis);
+        return json.write(report);
+    }
+
+    private synchronized List<Map<String, Object>> models() {
+        List<Map<String, Object>> models = new ArrayList<>();
+        adaptersByModel.forEach(
+                (name, adapters) -> models.add(Map.of("name", name, "version", 1, "adapters", List.copyOf(adapters))));
+        return models;
+    }
+
+    private synchronized void order(HttpExchange exchange) {
+        Map<?, ?> order = json.read(exchange.body(), Map.class);
+        long token = ((Number) order.get("fencingToken")).longValue();
+        if (!id.equals(exchange.headers().get("Expect-Instance", id))) {
+            respond(exchange, 421);
+        } else if (token < highestToken) {
+            respond(exchange, 412);
+        } else if (busy || ((Number) order.get("expected")).longValue() != orderCount) {
+            respond(exchange, 409);
+        } else {
+            highestToken = token;
+            orderCount++;
+            carryOut(exchange, order.get("operation").equals("loading"), (String) order.get("model"), (String)
+                    order.get("adapter"));
+        }
+    }
+
+    private void carryOut(HttpExchange exchange, boolean loads, String model, String adapter) {
+        if (adapter != null) {
+            Set<String> adapters = adaptersByModel.getOrDefault(model, new HashSet<>());
+            boolean changed = loads ? adapters.add(adapter) : adapters.remove(adapter);
+            respond(exchange, loads && changed ? 202 : 200);
+            return;
+        }
+        busy = true;
+        timers.schedule(() -> finish(loads, model), LOAD_MILLIS, TimeUnit.MILLISECONDS);
+        respond(exchange, 202);
+    }
+
+    private synchronized void finish(boolean loads, String model) {
+        busy = false;
+        if (loads) {
+            adaptersByModel.putIfAbsent(model, new HashSet<>());
+        } else {
+            adaptersByModel.remove(model);
+        }
+    }
+
+    private void execute(HttpExchange exchange) {
+        HttpHeaders request = exchange.headers();
+        if (request.contains("Api-Key")) {
+            ledger.sawKey(request.get("Api-Key"));
+        }
+        String model = request.get("Model", "");
+        if (!id.equals(request.get("Expect-Instance", id)) || engine && !holds(model)) {
+            exchange.respond(421, "text/plain", new byte[0], Map.of("Not-Executed", "1", "Instance-Id", id));
+            return;
+        }
+        String requestId = request.get("Request-Id", "");
+        ledger.executed(requestId);
+        HttpHeaders answer = new DefaultHttpHeaders();
+        answer.set("Request-Id", requestId);
+        answer.set("Server-Seal", id + "." + requestId);
+        answer.set("Instance-Load", loadAfter(1) + ",0,64");
+        if (!engine) {
+            byte[] body = ("done " + requestId).getBytes(StandardCharsets.UTF_8);
+            answer.set("content-length", body.length);
+            exchange.startAnswer(200, answer);
+            exchange.write(Unpooled.wrappedBuffer(body));
+            exchange.endStream();
+            loadAfter(-1);
+            return;
+        }
+        answer.set("content-type", "text/event-stream");
+        int from = Integer.parseInt(request.get("Last-Event-Id", "0"));
+        exchange.startAnswer(200, answer);
+        sendEvent(exchange, from + 1);
+    }
+
+    private void sendEvent(HttpExchange exchange, int number) {
+        String event = "id: " + number + "\ndata: token " + number + "\n\n";
+        exchange.write(Unpooled.copiedBuffer(event, StandardCharsets.UTF_8));
+        if (number >= EVENTS) {
+            exchange.endStream();
+            loadAfter(-1);
+            return;
+        }
+        timers.schedule(() -> sendEvent(exchange, number + 1), EVENT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized boolean holds(String model) {
+        int slash = model.indexOf('/');
+        String base = slash < 0 ? model : model.substring(0, slash);
+        Set<String> adapters = adaptersByModel.get(base);
+        return adapters != null && (slash < 0 || adapters.contains(model.substring(slash + 1)));
+    }
+
+    private synchronized int loadAfter(int change) {
+        running += change;
+        return running;
+    }
+
+    private static void respond(HttpExchange exchange, int status) {
+        exchange.respond(status, "application/json", new byte[] {'{', '}'}, NO_HEADERS);
+    }
+}
