--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetDirectory.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetDirectory.java
@@ -2,9 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMember;
 
-/** Answers callers that ask where to connect. */
+/** Answers questions about the entries of a fleet. */
 public final class FleetDirectory {
     private static final int MAXIMUM_ADDRESSES = 64;
 
@@ -26,6 +27,12 @@
         return List.copyOf(addresses);
     }
 
+    /** Returns where a member listens for other entries; empty if it is not known. */
+    public static Optional<String> peerAddress(FleetState state, String memberId) {
+        return Optional.ofNullable(state.peers().get(memberId))
+                .map(peer -> peer.member().peerAddress());
+    }
+
     /** Returns whether this entry takes callers. */
     public static boolean isReady(FleetState state, long nowMillis) {
         return PeerFlow.isReady(state, nowMillis);
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -0,0 +1,140 @@
+package org.jackdawbeam.net.fleet;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.jackdawbeam.logic.fleet.FleetEffect;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.logic.fleet.FleetState;
+import org.jackdawbeam.model.error.ErrorCode;
+import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.model.request.AttemptId;
+import org.jackdawbeam.net.log.BoundedConsoleWriter;
+
+/** Counters and latencies of an entry. Used on the thread of its loop. */
+public final class FleetMetrics implements FleetObserver {
+    /** Content type of the text format. */
+    public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double[] LATENCY_SECONDS = {0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 4};
+
+    private final PrometheusRegistry registry;
+    private final Counter arrivals;
+    private final Counter refusals;
+    private final Counter attempts;
+    private final Counter storeReads;
+    private final Counter orders;
+    private final Counter brokenAnswers;
+    private final Histogram answerSeconds;
+    private final Gauge openRequests;
+    private final Gauge configurationVersion;
+    private final Gauge placementDuty;
+    private final Gauge peers;
+    private final Gauge linesLeftOut;
+    private final Map<AttemptId, Long> startedAt = new HashMap<>();
+
+    public FleetMetrics(PrometheusRegistry registry) {
+        this.registry = registry;
+        this.arrivals = counter("jackdawbeam_requests_total", "Requests of callers.");
+        this.refusals = counter("jackdawbeam_refusals_total", "Requests answered negatively.", "code");
+        this.attempts = counter("jackdawbeam_attempts_total", "Attempts at targets by result.", "result");
+        this.storeReads = counter("jackdawbeam_store_reads_total", "Reads of the store.", "feed", "result");
+        this.orders = counter("jackdawbeam_orders_total", "Orders to engines by response.", "action", "response");
+        this.brokenAnswers = counter("jackdawbeam_broken_answers_total", "Answers that ended before they were whole.");
+        this.answerSeconds = Histogram.builder()
+                .name("jackdawbeam_answer_seconds")
+                .help("Time from sending a request to a target until the head of its answer.")
+                .classicOnly()
+                .classicUpperBounds(LATENCY_SECONDS)
+                .register(registry);
+        this.openRequests = gauge("jackdawbeam_open_requests", "Requests that have not ended.");
+        this.configurationVersion = gauge("jackdawbeam_configuration_version", "Version in force.");
+        this.placementDuty = gauge("jackdawbeam_placement_duty", "1 while this entry gives orders to engines.");
+        this.peers = gauge("jackdawbeam_peers", "Other entries that are known.");
+        this.linesLeftOut = gauge("jackdawbeam_log_lines_left_out", "Log lines that were not written.");
+    }
+
+    /** Returns all metrics in the text format. */
+    public byte[] text() {
+        linesLeftOut.set(BoundedConsoleWriter.leftOut());
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(output, registry.scrape());
+        } catch (IOException e) {
+            throw new JackdawbeamException(ErrorCode.INTERNAL, "metrics cannot be written", e);
+        }
+        return output.toByteArray();
+    }
+
+    @Override
+    public void onEvent(FleetState state, FleetEvent event) {
+        switch (event) {
+            case FleetEvent.RequestArrived arrived -> arrivals.inc();
+            case FleetEvent.FeedRead read ->
+                storeReads.labelValues(read.feed().name(), "answered").inc();
+            case FleetEvent.FeedFailed failed ->
+                storeReads.labelValues(failed.feed().name(), "failed").inc();
+            case FleetEvent.AttemptAnswered answered -> onAnswered(answered);
+            case FleetEvent.AttemptFailed failed -> {
+                startedAt.remove(failed.attempt());
+                attempts.labelValues(failed.failure().name()).inc();
+            }
+            case FleetEvent.OrderAnswered answered ->
+                orders.labelValues(
+                                answered.order().action().name(),
+                                answered.response().name())
+                        .inc();
+            case FleetEvent.Ticked ticked -> {
+                openRequests.set(state.requests().size());
+                state.configuration().ifPresent(known -> configurationVersion.set(known.version()));
+                placementDuty.set(state.leadership().fencingToken().isPresent() ? 1 : 0);
+                peers.set(state.peers().size());
+            }
+            default -> {
+                // Other events are counted by their effects.
+            }
+        }
+    }
+
+    @Override
+    public void onEffect(FleetState state, FleetEvent cause, FleetEffect effect) {
+        switch (effect) {
+            case FleetEffect.StartAttempt start -> startedAt.put(start.attempt(), cause.nowMillis());
+            case FleetEffect.CancelAttempt cancel -> startedAt.remove(cancel.attempt());
+            case FleetEffect.RefuseRequest refuse ->
+                refusals.labelValues(refuse.refusal().code().name()).inc();
+            case FleetEffect.BreakAnswer broken -> brokenAnswers.inc();
+            default -> {
+                // Other effects are counted by the events that end them.
+            }
+        }
+    }
+
+    @Override
+    public void onFailure(FleetEvent event, RuntimeException failure) {
+        attempts.labelValues("INTERNAL_FAILURE").inc();
+    }
+
+    private void onAnswered(FleetEvent.AttemptAnswered answered) {
+        Long started = startedAt.remove(answered.attempt());
+        if (started != null) {
+            answerSeconds.observe((answered.nowMillis() - started) / MILLIS_PER_SECOND);
+        }
+        attempts.labelValues("STATUS_" + answered.status()).inc();
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+}
