Wait for a predecessor's order before giving one

Ruled out: stale adapter places (the engine held none), late orders (the expected count was right). Change: a report that says busy occupies the engine until one says that it is not.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
@@ -29,6 +29,8 @@
         boolean reportAsked,
         long reportAtMillis,
         PMap<AdapterKey, AdapterPlace> adapters) {
+    /** Stands for the model of an order that somebody else has given. */
+    static final String UNKNOWN_MODEL = "";
 
     static EngineDuty unknown(long startedAtMillis) {
         return new EngineDuty(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -106,7 +106,9 @@
         TargetReport report = event.report().get();
         long count = Math.max(report.orderCount(), duty.orderCount().orElse(0));
         boolean settled = !report.busy() && event.nowMillis() - duty.changedAtMillis() > REPORT_MILLIS;
-        Optional<String> changing = settled ? Optional.empty() : duty.changing();
+        Optional<String> changing = settled
+                ? Optional.empty()
+                : duty.changing().or(() -> report.busy() ? Optional.of(EngineDuty.UNKNOWN_MODEL) : Optional.empty());
         long reportAt = changing.isPresent() ? event.nowMillis() + REPORT_MILLIS : Long.MAX_VALUE;
         EngineDuty known = duty.reported(OptionalLong.of(count), changing, reportAt);
         boolean ordersSince = duty.orderCount().isPresent()
@@ -412,6 +414,7 @@
                 .or(() -> duty.underWay()
                         .filter(order -> order.action() == OrderAction.LOAD_MODEL)
                         .map(EngineOrder::model))
+                .filter(model -> !model.equals(EngineDuty.UNKNOWN_MODEL))
                 .filter(model -> !target.unloading().contains(model));
         Set<String> kept = new HashSet<>(target.description().models());
         kept.removeAll(target.unloading());
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -157,7 +157,10 @@
     }
 
     void report(String target, long orderCount, Set<String> models, Map<String, Set<String>> adapters) {
-        TargetReport report = new TargetReport(models, adapters, false, orderCount, 7);
+        report(target, new TargetReport(models, adapters, false, orderCount, 7));
+    }
+
+    void report(String target, TargetReport report) {
         apply(new FleetEvent.ReportRead(nowMillis, target, Optional.of(report)));
     }
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -8,6 +8,7 @@
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.OrderResponse;
+import org.jackdawbeam.model.fleet.TargetReport;
 import org.jackdawbeam.model.log.OrderAction;
 import org.junit.jupiter.api.Test;
 
@@ -150,6 +151,23 @@
         assertThat(order().model()).isEqualTo("m2");
     }
 
+    @Test
+    void engineThatIsBusyWithAPredecessorsOrderGetsNone() {
+        FleetFixture successor = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        successor.takeDuty(4);
+        successor.report("e1", new TargetReport(Set.of("m1"), Map.of(), true, 3, 7));
+        successor.advanceInContact(500);
+        successor.renewDuty();
+        successor.chat("chat", "m2");
+
+        successor.advance(200);
+        assertThat(successor.all(FleetEffect.SendOrder.class)).isEmpty();
+        successor.report("e1", 3, Set.of("m1"), Map.of());
+        successor.advance(100);
+
+        assertThat(successor.all(FleetEffect.SendOrder.class)).hasSize(1);
+    }
+
     @Test
     void everybodyLearnsWhichModelIsAboutToGo() {
         FleetFixture full = FleetFixture.serving(FleetFixture.engine("e1", "m1", "m2"));
