--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -18,9 +18,11 @@
         FleetState next = state;
         for (Feed feed : Feed.values()) {
             FeedState progress = next.feed(feed);
-            if (!progress.asking() && nowMillis >= progress.askAtMillis()) {
+            if (!progress.asking()
+                    && nowMillis >= progress.askAtMillis()
+                    && HubFlow.readsItself(next, feed, nowMillis)) {
                 next = next.with(feed, progress.asked(nowMillis));
-                effects.add(new FleetEffect.ReadFeed(feed, progress.nextOffset(), waitMillis(feed)));
+                effects.add(new FleetEffect.ReadFeed(feed, progress.nextOffset(), waitMillis(next, feed)));
             }
         }
         return announce(removeLapsed(next, nowMillis, effects), effects);
@@ -38,8 +40,13 @@
         if (event.newest() && event.feed() == Feed.TARGETS) {
             next = removeMissing(next, event, effects);
         }
-        for (FeedEntry entry : event.entries()) {
-            next = apply(next, entry, event.nowMillis(), effects);
+        return applyAll(next, event.entries(), event.nowMillis(), effects);
+    }
+
+    FleetState applyAll(FleetState state, List<FeedEntry> entries, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FeedEntry entry : entries) {
+            next = apply(next, entry, nowMillis, effects);
         }
         return next;
     }
@@ -79,9 +86,13 @@
         return state.with(Announcement.SENT);
     }
 
-    private static long waitMillis(Feed feed) {
+    private static long waitMillis(FleetState state, Feed feed) {
+        if (!FleetTimings.isMesh(state.memberCount()) && !HubFlow.isHub(state)) {
+            return 0;
+        }
         return switch (feed) {
-            case CONFIGURATION -> FleetTimings.CONFIGURATION_WAIT;
+            case CONFIGURATION ->
+                HubFlow.isHub(state) ? FleetTimings.HUB_CONFIGURATION_WAIT : FleetTimings.CONFIGURATION_WAIT;
             case TARGETS -> FleetTimings.TARGETS_WAIT;
             case MEMBERS -> FleetTimings.MEMBERS_WAIT;
         };
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
@@ -48,6 +48,30 @@
                 next, false, askedAtMillis, freshAtMillis, OptionalLong.of(nowMillis), failures + 1, againAtMillis);
     }
 
+    /** Returns the feed after news that somebody else has read. */
+    FeedState told(long offset) {
+        return new FeedState(
+                OptionalLong.of(Math.max(offset, nextOffset.orElse(0))),
+                asking,
+                askedAtMillis,
+                freshAtMillis,
+                failedAtMillis,
+                failures,
+                askAtMillis);
+    }
+
+    /** Returns the feed after somebody else's read has shown that nothing is missing as of the given time. */
+    FeedState confirmed(long atMillis) {
+        long fresh = Math.max(atMillis, freshAtMillis.orElse(Long.MIN_VALUE));
+        return new FeedState(
+                nextOffset, asking, askedAtMillis, OptionalLong.of(fresh), failedAtMillis, failures, askAtMillis);
+    }
+
+    /** Returns the feed to be read as soon as possible. */
+    FeedState due() {
+        return new FeedState(nextOffset, asking, askedAtMillis, OptionalLong.empty(), failedAtMillis, failures, 0);
+    }
+
     /** Returns whether the latest answered read was sent less than the given time ago. */
     boolean isFresh(long nowMillis, long withinMillis) {
         return freshAtMillis.isPresent() && nowMillis - freshAtMillis.getAsLong() < withinMillis;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetDirectory.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetDirectory.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMember;
@@ -21,6 +22,7 @@
         state.peers().values().stream()
                 .filter(peer -> peer.isReady() && peer.isAlive(nowMillis, silence))
                 .map(FleetPeer::member)
+                .sorted(Comparator.comparingInt(member -> (state.self().id() + member.id()).hashCode()))
                 .map(FleetMember::callerAddress)
                 .limit(MAXIMUM_ADDRESSES - 1L)
                 .forEach(addresses::add);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPeer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPeer.java
@@ -6,35 +6,70 @@
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage.Digest;
+import org.jackdawbeam.model.fleet.FleetMessage.LeadershipClaim;
+import org.jackdawbeam.model.fleet.FleetMessage.MemberStatus;
+import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
 
 /**
  * Another entry.
  *
  * @param knownSinceMillis when this entry first knew of its incarnation
- * @param heardAtMillis when its latest heartbeat arrived; long ago if none has
- * @param digest its latest heartbeat
- * @param workByTarget the work of the heartbeat by target
+ * @param heardAtMillis when it was last heard, itself or through a hub; long ago if never
+ * @param ready whether callers may be sent to it
+ * @param leaving whether it is about to stop
+ * @param leadership present if it holds the placement duty
+ * @param workByTarget what it has sent to targets, if it tells this entry itself
+ * @param demand what its callers ask for, if it tells this entry itself
  */
 public record FleetPeer(
         FleetMember member,
         long knownSinceMillis,
         long heardAtMillis,
-        Optional<Digest> digest,
-        Map<String, TargetWork> workByTarget) {
+        boolean ready,
+        boolean leaving,
+        Optional<LeadershipClaim> leadership,
+        Map<String, TargetWork> workByTarget,
+        List<ModelDemand> demand) {
     private static final long NEVER = -1_000_000_000;
 
     static FleetPeer announced(FleetMember member, long nowMillis) {
-        return new FleetPeer(member, nowMillis, NEVER, Optional.empty(), Map.of());
+        return new FleetPeer(member, nowMillis, NEVER, false, false, Optional.empty(), Map.of(), List.of());
     }
 
     static FleetPeer heard(Digest digest, long nowMillis) {
-        return new FleetPeer(digest.member(), nowMillis, nowMillis, Optional.of(digest), byTarget(digest.work()));
+        return new FleetPeer(
+                digest.member(),
+                nowMillis,
+                nowMillis,
+                digest.ready(),
+                digest.leaving(),
+                digest.leadership(),
+                byTarget(digest.work()),
+                digest.demand());
+    }
+
+    /** Returns a peer of which a hub tells; what it does is in the hub's sums. */
+    static FleetPeer told(MemberStatus status, long nowMillis) {
+        return new FleetPeer(
+                status.member(),
+                nowMillis,
+                nowMillis,
+                status.ready(),
+                status.leaving(),
+                status.leadership(),
+                Map.of(),
+                List.of());
     }
 
     /** Returns the peer with newer work than that of its heartbeat. */
     FleetPeer doing(List<TargetWork> work) {
-        return new FleetPeer(member, knownSinceMillis, heardAtMillis, digest, byTarget(work));
+        return new FleetPeer(
+                member, knownSinceMillis, heardAtMillis, ready, leaving, leadership, byTarget(work), demand);
+    }
+
+    MemberStatus status() {
+        return new MemberStatus(member, ready, leaving, leadership);
     }
 
     private static Map<String, TargetWork> byTarget(List<TargetWork> work) {
@@ -52,11 +87,7 @@
         return Math.max(knownSinceMillis, heardAtMillis) < sinceMillis;
     }
 
-    boolean isLeaving() {
-        return digest.map(Digest::leaving).orElse(false);
-    }
-
     boolean isReady() {
-        return digest.map(latest -> latest.ready() && !latest.leaving()).orElse(false);
+        return ready && !leaving;
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetMessage;
 
 /**
@@ -13,6 +14,7 @@
     private final QuotaFlow quota = new QuotaFlow();
     private final LeadershipFlow leadership = new LeadershipFlow();
     private final PeerFlow peers = new PeerFlow(leadership);
+    private final HubFlow hubs = new HubFlow(feeds, leadership);
     private final PlacementFlow placement = new PlacementFlow();
     private final DispatchFlow dispatch = new DispatchFlow(quota, placement);
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
@@ -34,7 +36,10 @@
                 yield dispatch.tick(next, woken.nowMillis(), effects);
             }
             case FleetEvent.FeedRead read -> {
+                long from = state.feed(read.feed()).nextOffset().orElse(0);
                 FleetState next = feeds.onRead(state, read, effects);
+                next = read.feed() == Feed.CONFIGURATION ? next.with(next.hub().behind(false)) : next;
+                hubs.passOn(next, read, from, effects);
                 yield dispatch.tick(feeds.tick(next, read.nowMillis(), effects), read.nowMillis(), effects);
             }
             case FleetEvent.FeedFailed failed -> feeds.onFailed(state, failed, effects);
@@ -67,6 +72,7 @@
         FleetState next = feeds.tick(state, nowMillis, effects);
         next = leadership.tick(next, nowMillis, effects);
         next = peers.tick(next, nowMillis, effects);
+        next = hubs.tick(next, nowMillis, effects);
         next = requests.tick(next, nowMillis, effects);
         next = dispatch.expire(next, nowMillis, effects);
         next = placement.tick(next, nowMillis, effects);
@@ -77,7 +83,16 @@
     private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
         return switch (message) {
             case FleetMessage.Digest digest ->
-                placement.noteUse(peers.onDigest(state, nowMillis, digest, effects), nowMillis, digest.work());
+                placement.noteUse(
+                        hubs.onDigest(peers.onDigest(state, nowMillis, digest, effects), digest, nowMillis),
+                        nowMillis,
+                        digest.work());
+            case FleetMessage.GroupDigest digest -> hubs.onGroupDigest(state, digest, nowMillis, effects);
+            case FleetMessage.Bulletin bulletin ->
+                placement.noteUse(hubs.onBulletin(state, bulletin, nowMillis, effects), nowMillis, bulletin.work());
+            case FleetMessage.FeedNews news ->
+                dispatch.tick(hubs.onFeedNews(state, news, nowMillis, effects), nowMillis, effects);
+            case FleetMessage.ConfigurationEnd end -> hubs.onConfigurationEnd(state, end);
             case FleetMessage.WorkNotice notice -> peers.onWorkNotice(state, notice);
             case FleetMessage.QuotaQuestion question -> quota.onQuestion(state, nowMillis, question, effects);
             case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -19,6 +19,7 @@
  * @param retries retries allowed by service
  * @param demand what callers of this entry ask for, by {@link DemandKey}
  * @param sent what the other entries were last told
+ * @param hub how news pass in a fleet that is too large for all to tell all
  */
 public record FleetState(
         FleetMember self,
@@ -35,7 +36,8 @@
         Demand demand,
         Announcement announcement,
         StopStage stop,
-        SentWork sent) {
+        SentWork sent,
+        HubState hub) {
     private static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last three seconds and more
 
     /** Returns the state of an entry that has just started. */
@@ -59,7 +61,8 @@
                 Demand.none(DEMAND_WINDOW_MILLIS),
                 Announcement.DUE,
                 new StopStage.Serving(),
-                SentWork.nothing());
+                SentWork.nothing(),
+                HubState.none());
     }
 
     FleetState with(FleetBounds changed) {
@@ -78,7 +81,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(Feed feed, FeedState changed) {
@@ -97,7 +101,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(FleetConfiguration changed) {
@@ -116,7 +121,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState withTargets(PMap<String, FleetTarget> changed) {
@@ -135,7 +141,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(FleetTarget target) {
@@ -158,7 +165,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
@@ -177,7 +185,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(FleetRequest request) {
@@ -204,7 +213,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(String service, RetryAllowance allowance) {
@@ -223,7 +233,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(Leadership changed) {
@@ -242,7 +253,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(PlacementState changed) {
@@ -261,7 +273,8 @@
                 demand,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(Demand changed) {
@@ -280,7 +293,8 @@
                 changed,
                 announcement,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(Announcement changed) {
@@ -299,7 +313,8 @@
                 demand,
                 changed,
                 stop,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(StopStage changed) {
@@ -318,7 +333,8 @@
                 demand,
                 announcement,
                 changed,
-                sent);
+                sent,
+                hub);
     }
 
     FleetState with(SentWork changed) {
@@ -337,6 +353,27 @@
                 demand,
                 announcement,
                 stop,
+                changed,
+                hub);
+    }
+
+    FleetState with(HubState changed) {
+        return new FleetState(
+                self,
+                bounds,
+                feeds,
+                configuration,
+                targets,
+                peers,
+                requests,
+                buckets,
+                retries,
+                leadership,
+                placement,
+                demand,
+                announcement,
+                stop,
+                sent,
                 changed);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -20,12 +20,20 @@
     static final long LAPSE_GRACE = 1_900;
     /** How long after a failed read a removal may be due to the outage. */
     static final long OUTAGE_MEMORY = 3_000;
-    /** Time between heartbeats with up to {@link #MEMBERS_AT_FULL_RATE} members. */
+    /** Time between heartbeats with up to {@link #LARGEST_MESH} members. */
     static final long HEARTBEAT = 250;
     /** Time between news of work; an engine reads half a prompt in that time. */
     static final long NOTICE = 50;
-    /** Beyond this many members heartbeats become rarer in proportion, which bounds messages per entry. */
-    static final int MEMBERS_AT_FULL_RATE = 16;
+    /** Up to this many members each tells all others; beyond, messages would take too much of a small host. */
+    static final int LARGEST_MESH = 16;
+    /** Time between the messages of a fleet that reports to hubs. */
+    static final long GROUP_HEARTBEAT = 500;
+    /** How long a hub's store may hold a read of the configuration; the others' freshness depends on it. */
+    static final long HUB_CONFIGURATION_WAIT = 500;
+    /** Age of the latest read after which an entry asks the store itself although it has a hub. */
+    static final long OWN_READ_AGE = 2_500;
+    /** How long a silent hub is passed over. */
+    static final long HUB_SUSPICION = 5_000;
     /** Heartbeats that may be lost before a peer counts as gone. */
     static final int HEARTBEATS_MISSED = 4;
     /** Time for another entry to answer about units; far above a round trip, far below an objective. */
@@ -36,11 +44,11 @@
     private FleetTimings() {}
 
     static long heartbeatMillis(int members) {
-        return HEARTBEAT * Math.max(MEMBERS_AT_FULL_RATE, members) / MEMBERS_AT_FULL_RATE;
+        return isMesh(members) ? HEARTBEAT : GROUP_HEARTBEAT;
     }
 
-    static long noticeMillis(int members) {
-        return NOTICE * Math.max(MEMBERS_AT_FULL_RATE, members) / MEMBERS_AT_FULL_RATE;
+    static boolean isMesh(int members) {
+        return members <= LARGEST_MESH;
     }
 
     static long silenceMillis(int members) {
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -0,0 +1,302 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.FleetMessage.Bulletin;
+import org.jackdawbeam.model.fleet.FleetMessage.Digest;
+import org.jackdawbeam.model.fleet.FleetMessage.GroupDigest;
+import org.jackdawbeam.model.fleet.FleetMessage.MemberStatus;
+import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+
+/**
+ * Passes news in a large fleet. Each entry reports to the hub of its zone, which is the host with the strongest link;
+ * hubs tell each other and then their entries. Only hubs follow the store's feeds. Whoever is reported to acts as a hub,
+ * so that entries that disagree on the hub for a while still hear everything.
+ */
+final class HubFlow {
+    private static final int HEARTBEATS_MISSED = 3;
+    private static final int HUBS_TO_TRY = 2; // members of a zone whose hub is not known, in turn
+
+    private final FeedFlow feeds;
+    private final LeadershipFlow leadership;
+
+    HubFlow(FeedFlow feeds, LeadershipFlow leadership) {
+        this.feeds = feeds;
+        this.leadership = leadership;
+    }
+
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        boolean due = nowMillis - state.sent().digestAtMillis() >= FleetTimings.GROUP_HEARTBEAT;
+        if (FleetTimings.isMesh(state.memberCount()) || !due) {
+            return state;
+        }
+        FleetState next =
+                chooseHub(state.with(state.hub().withoutSilent(nowMillis - silenceMillis())), nowMillis, effects);
+        Digest digest = PeerFlow.digest(next, nowMillis);
+        next = next.with(new SentWork(nowMillis, nowMillis, digest.work()));
+        String hub = next.hub().id().orElse(state.self().id());
+        if (!hub.equals(state.self().id())) {
+            send(next, hub, digest, effects);
+        }
+        PeerFlow.withdrawLost(next, nowMillis, effects);
+        return isHub(next) ? publish(next, digest, nowMillis, effects) : next;
+    }
+
+    FleetState onDigest(FleetState state, Digest digest, long nowMillis) {
+        return FleetTimings.isMesh(state.memberCount())
+                ? state
+                : state.with(state.hub().with(digest, nowMillis));
+    }
+
+    /** Keeps what another hub tells. An entry that is no hub hands it to its own, which the sender did not know. */
+    FleetState onGroupDigest(FleetState state, GroupDigest digest, long nowMillis, List<FleetEffect> effects) {
+        if (isHub(state)) {
+            return state.with(state.hub().with(digest, nowMillis));
+        }
+        state.hub()
+                .id()
+                .filter(hub -> !hub.equals(digest.sender()))
+                .ifPresent(hub -> send(state, hub, digest, effects));
+        return state;
+    }
+
+    FleetState onBulletin(FleetState state, Bulletin bulletin, long nowMillis, List<FleetEffect> effects) {
+        if (!state.hub().id().equals(Optional.of(bulletin.sender()))) {
+            return state;
+        }
+        return learn(state.with(state.hub().heard(nowMillis)), bulletin, nowMillis, effects);
+    }
+
+    /** Applies what the hub has read, unless something before it is missing; then the store is asked. */
+    FleetState onFeedNews(FleetState state, FleetMessage.FeedNews news, long nowMillis, List<FleetEffect> effects) {
+        FeedState feed = state.feed(news.feed());
+        boolean gap = feed.nextOffset().isEmpty() || feed.nextOffset().getAsLong() < news.fromOffset();
+        if (gap) {
+            return state.with(news.feed(), feed.due());
+        }
+        FleetState next = state.with(news.feed(), feed.told(news.nextOffset()));
+        return feeds.applyAll(next, news.entries(), nowMillis, effects);
+    }
+
+    FleetState onConfigurationEnd(FleetState state, FleetMessage.ConfigurationEnd end) {
+        FeedState feed = state.feed(Feed.CONFIGURATION);
+        boolean complete = feed.nextOffset().isPresent() && feed.nextOffset().getAsLong() >= end.nextOffset();
+        return complete
+                ? state.with(Feed.CONFIGURATION, feed.confirmed(end.stampMillis()))
+                : state.with(state.hub().behind(true));
+    }
+
+    /** Passes on what this entry has read, if it is a hub. */
+    void passOn(FleetState state, FleetEvent.FeedRead read, long fromOffset, List<FleetEffect> effects) {
+        if (FleetTimings.isMesh(state.memberCount()) || !isHub(state)) {
+            return;
+        }
+        for (HubState.Heard<Digest> member : state.hub().group().values()) {
+            String address = member.message().member().peerAddress();
+            boolean before = member.atMillis() <= read.askedAtMillis();
+            if (read.feed() == Feed.CONFIGURATION && before) {
+                FleetMessage end = new FleetMessage.ConfigurationEnd(
+                        state.self().id(), member.message().stampMillis(), read.nextOffset());
+                effects.add(new FleetEffect.SendPeerMessage(address, end));
+            }
+        }
+        boolean news = read.feed() != Feed.CONFIGURATION
+                && !read.newest()
+                && !read.entries().isEmpty();
+        if (news) {
+            FleetMessage message = new FleetMessage.FeedNews(
+                    state.self().id(), read.feed(), fromOffset, read.entries(), read.nextOffset());
+            sendToGroup(state, message, effects);
+        }
+    }
+
+    /** Returns whether this entry has to ask the store for a feed itself. */
+    static boolean readsItself(FleetState state, Feed feed, long nowMillis) {
+        FeedState progress = state.feed(feed);
+        boolean firstRead =
+                progress.nextOffset().isEmpty() || progress.freshAtMillis().isEmpty();
+        if (FleetTimings.isMesh(state.memberCount()) || firstRead || isHub(state)) {
+            return true;
+        }
+        boolean hubIsSilent = nowMillis - state.hub().heardAtMillis() > silenceMillis();
+        return switch (feed) {
+            case CONFIGURATION -> state.hub().behind() || !progress.isFresh(nowMillis, FleetTimings.OWN_READ_AGE);
+            case TARGETS, MEMBERS -> hubIsSilent && !progress.isFresh(nowMillis, FleetTimings.OWN_READ_AGE);
+        };
+    }
+
+    /** Returns whether others report to this entry, or it is its own hub. */
+    static boolean isHub(FleetState state) {
+        return state.hub().id().equals(Optional.of(state.self().id()))
+                || !state.hub().group().isEmpty();
+    }
+
+    private static FleetState chooseHub(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        HubState hub = state.hub();
+        boolean silent = hub.id().isPresent()
+                && !hub.id().get().equals(state.self().id())
+                && nowMillis - hub.heardAtMillis() > silenceMillis();
+        FleetState next =
+                silent ? state.with(hub.suspecting(hub.id().get(), nowMillis + FleetTimings.HUB_SUSPICION)) : state;
+        String best =
+                candidates(next, state.self().zone(), nowMillis).getFirst().id();
+        if (next.hub().id().equals(Optional.of(best))) {
+            return next;
+        }
+        effects.add(FleetEffect.Note.of(
+                "hub_chosen", "hub", best, "previous", hub.id().orElse("none"), "previous_silent", silent));
+        return next.with(next.hub().choosing(best, nowMillis));
+    }
+
+    /** Returns the members of a zone, the strongest first; those that were silent as a hub are left out. */
+    private static List<FleetMember> candidates(FleetState state, String zone, long nowMillis) {
+        boolean own = zone.equals(state.self().zone());
+        Stream<FleetMember> members =
+                state.peers().values().stream().filter(peer -> !peer.leaving()).map(FleetPeer::member);
+        return Stream.concat(own ? Stream.of(state.self()) : Stream.empty(), members)
+                .filter(member -> member.zone().equals(zone))
+                .filter(member -> state.hub().suspectedUntil().getOrDefault(member.id(), 0L) <= nowMillis)
+                .sorted(Comparator.comparingInt((FleetMember member) -> -member.linkMegabits())
+                        .thenComparing(FleetMember::id))
+                .toList();
+    }
+
+    private FleetState publish(FleetState state, Digest own, long nowMillis, List<FleetEffect> effects) {
+        GroupDigest group = groupDigest(state, own);
+        otherHubs(state, nowMillis).forEach(hub -> send(state, hub, group, effects));
+        List<GroupDigest> all = new ArrayList<>(List.of(group));
+        state.hub().groups().values().forEach(heard -> all.add(heard.message()));
+        Bulletin whole = bulletin(state, all);
+        List<TargetWork> work = whole.work().stream()
+                .map(item -> new TargetWork(item.target(), item.running(), item.unreadTokens(), Set.of()))
+                .toList();
+        Bulletin brief = new Bulletin(whole.sender(), whole.members(), work, List.of());
+        for (HubState.Heard<Digest> member : state.hub().group().values()) {
+            boolean holdsDuty = member.message().leadership().isPresent();
+            effects.add(new FleetEffect.SendPeerMessage(
+                    member.message().member().peerAddress(), holdsDuty ? whole : brief));
+        }
+        boolean reportsToItself =
+                state.hub().id().equals(Optional.of(state.self().id()));
+        return reportsToItself ? learn(state.with(state.hub().heard(nowMillis)), whole, nowMillis, effects) : state;
+    }
+
+    /** Returns the hubs to tell: those that were heard, and the likely ones of zones that were not. */
+    private static Set<String> otherHubs(FleetState state, long nowMillis) {
+        Set<String> hubs = new LinkedHashSet<>(state.hub().groups().keySet());
+        Set<String> heardZones = new HashSet<>();
+        hubs.forEach(hub -> Optional.ofNullable(state.peers().get(hub))
+                .ifPresent(peer -> heardZones.add(peer.member().zone())));
+        Set<String> zones = new HashSet<>(Set.of(state.self().zone()));
+        state.peers().values().forEach(peer -> zones.add(peer.member().zone()));
+        zones.removeAll(heardZones);
+        for (String zone : zones) {
+            List<FleetMember> candidates = candidates(state, zone, nowMillis);
+            long beat = nowMillis / FleetTimings.GROUP_HEARTBEAT;
+            for (int turn = 0; turn < Math.min(HUBS_TO_TRY, candidates.size()); turn++) {
+                int index = Math.floorMod(beat * HUBS_TO_TRY + turn, candidates.size());
+                hubs.add(candidates.get(index).id());
+            }
+        }
+        hubs.remove(state.self().id());
+        return hubs;
+    }
+
+    private static GroupDigest groupDigest(FleetState state, Digest own) {
+        List<Digest> digests = new ArrayList<>(List.of(own));
+        state.hub().group().values().forEach(heard -> digests.add(heard.message()));
+        List<MemberStatus> members = digests.stream()
+                .map(digest -> new MemberStatus(digest.member(), digest.ready(), digest.leaving(), digest.leadership()))
+                .toList();
+        List<TargetWork> work = sumOfWork(digests.stream().flatMap(digest -> digest.work().stream()));
+        List<ModelDemand> demand = List.copyOf(PeerFlow.sumOfDemand(digests.stream()
+                        .flatMap(digest -> digest.demand().stream())
+                        .toList())
+                .values());
+        return new GroupDigest(state.self().id(), members, work, demand);
+    }
+
+    private static Bulletin bulletin(FleetState state, List<GroupDigest> groups) {
+        Map<String, MemberStatus> members = new HashMap<>();
+        groups.forEach(group -> group.members()
+                .forEach(status -> members.putIfAbsent(status.member().id(), status)));
+        List<TargetWork> work = sumOfWork(groups.stream().flatMap(group -> group.work().stream()));
+        List<ModelDemand> demand = List.copyOf(PeerFlow.sumOfDemand(groups.stream()
+                        .flatMap(group -> group.demand().stream())
+                        .toList())
+                .values());
+        return new Bulletin(state.self().id(), List.copyOf(members.values()), work, demand);
+    }
+
+    private static List<TargetWork> sumOfWork(Stream<TargetWork> work) {
+        Map<String, TargetWork> sum = new HashMap<>();
+        work.forEach(item -> sum.merge(item.target(), item, HubFlow::added));
+        return List.copyOf(sum.values());
+    }
+
+    private static TargetWork added(TargetWork one, TargetWork other) {
+        Set<String> adapters = new HashSet<>(one.adapters());
+        adapters.addAll(other.adapters());
+        return new TargetWork(
+                one.target(),
+                one.running() + other.running(),
+                one.unreadTokens() + other.unreadTokens(),
+                Set.copyOf(adapters));
+    }
+
+    private FleetState learn(FleetState state, Bulletin bulletin, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (MemberStatus status : bulletin.members()) {
+            boolean self = status.member().id().equals(state.self().id());
+            boolean known = state.peers().containsKey(status.member().id());
+            if (!self && (known || !status.leaving())) {
+                next = learn(next, status, nowMillis, effects);
+            }
+        }
+        Map<String, TargetWork> work = new HashMap<>();
+        bulletin.work().forEach(item -> work.put(item.target(), item));
+        return next.with(next.hub().knowing(Map.copyOf(work), bulletin.demand()));
+    }
+
+    private FleetState learn(FleetState state, MemberStatus status, long nowMillis, List<FleetEffect> effects) {
+        FleetPeer known = state.peers().get(status.member().id());
+        boolean incarnationNew = known == null
+                || !known.member().incarnation().equals(status.member().incarnation());
+        if (incarnationNew) {
+            effects.addAll(PeerFlow.residencies(state, status.member().peerAddress(), nowMillis));
+        }
+        FleetState next = state.withPeers(state.peers().plus(status.member().id(), FleetPeer.told(status, nowMillis)));
+        return status.leadership().isPresent()
+                ? leadership.onClaim(next, nowMillis, status.leadership().get(), effects)
+                : next;
+    }
+
+    private static void sendToGroup(FleetState state, FleetMessage message, List<FleetEffect> effects) {
+        for (HubState.Heard<Digest> member : state.hub().group().values()) {
+            effects.add(
+                    new FleetEffect.SendPeerMessage(member.message().member().peerAddress(), message));
+        }
+    }
+
+    private static void send(FleetState state, String member, FleetMessage message, List<FleetEffect> effects) {
+        Optional.ofNullable(state.peers().get(member))
+                .ifPresent(peer -> effects.add(
+                        new FleetEffect.SendPeerMessage(peer.member().peerAddress(), message)));
+    }
+
+    private static long silenceMillis() {
+        return HEARTBEATS_MISSED * FleetTimings.GROUP_HEARTBEAT;
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
@@ -0,0 +1,132 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.FleetMessage.Digest;
+import org.jackdawbeam.model.fleet.FleetMessage.GroupDigest;
+import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * How news pass in a fleet that is too large for all to tell all: entries report to a hub in their zone, and hubs tell
+ * each other.
+ *
+ * @param id the hub that this entry reports to, possibly itself
+ * @param sinceMillis when it chose that hub
+ * @param heardAtMillis when that hub was last heard
+ * @param suspectedUntil hubs that were silent, and until when they are passed over
+ * @param group heartbeats of the entries that report to this one
+ * @param groups what other hubs tell
+ * @param fleetWork work of all entries by target, as the hub tells
+ * @param fleetDemand demand of all entries, if this entry holds the placement duty
+ * @param behind feeds of which the hub has told more than this entry has read
+ */
+public record HubState(
+        Optional<String> id,
+        long sinceMillis,
+        long heardAtMillis,
+        PMap<String, Long> suspectedUntil,
+        PMap<String, Heard<Digest>> group,
+        PMap<String, Heard<GroupDigest>> groups,
+        Map<String, TargetWork> fleetWork,
+        List<ModelDemand> fleetDemand,
+        boolean behind) {
+
+    /** A message with the time of its arrival. */
+    record Heard<M>(M message, long atMillis) {}
+
+    static HubState none() {
+        return new HubState(
+                Optional.empty(),
+                0,
+                0,
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                Map.of(),
+                List.of(),
+                false);
+    }
+
+    HubState choosing(String hub, long nowMillis) {
+        return new HubState(
+                Optional.of(hub), nowMillis, nowMillis, suspectedUntil, group, groups, fleetWork, fleetDemand, behind);
+    }
+
+    HubState suspecting(String hub, long untilMillis) {
+        return new HubState(
+                Optional.empty(),
+                sinceMillis,
+                heardAtMillis,
+                suspectedUntil.plus(hub, untilMillis),
+                group,
+                groups,
+                fleetWork,
+                fleetDemand,
+                behind);
+    }
+
+    HubState heard(long nowMillis) {
+        return new HubState(id, sinceMillis, nowMillis, suspectedUntil, group, groups, fleetWork, fleetDemand, behind);
+    }
+
+    HubState with(Digest digest, long nowMillis) {
+        return new HubState(
+                id,
+                sinceMillis,
+                heardAtMillis,
+                suspectedUntil,
+                group.plus(digest.sender(), new Heard<>(digest, nowMillis)),
+                groups,
+                fleetWork,
+                fleetDemand,
+                behind);
+    }
+
+    HubState with(GroupDigest digest, long nowMillis) {
+        return new HubState(
+                id,
+                sinceMillis,
+                heardAtMillis,
+                suspectedUntil,
+                group,
+                groups.plus(digest.sender(), new Heard<>(digest, nowMillis)),
+                fleetWork,
+                fleetDemand,
+                behind);
+    }
+
+    HubState knowing(Map<String, TargetWork> work, List<ModelDemand> demand) {
+        return new HubState(id, sinceMillis, heardAtMillis, suspectedUntil, group, groups, work, demand, behind);
+    }
+
+    HubState behind(boolean now) {
+        return new HubState(id, sinceMillis, heardAtMillis, suspectedUntil, group, groups, fleetWork, fleetDemand, now);
+    }
+
+    /** Returns the state without entries and hubs that have been silent since the given time. */
+    HubState withoutSilent(long sinceMillisLimit) {
+        PMap<String, Heard<Digest>> freshGroup = group;
+        for (Map.Entry<String, Heard<Digest>> entry : group.entrySet()) {
+            freshGroup = entry.getValue().atMillis() < sinceMillisLimit ? freshGroup.minus(entry.getKey()) : freshGroup;
+        }
+        PMap<String, Heard<GroupDigest>> freshGroups = groups;
+        for (Map.Entry<String, Heard<GroupDigest>> entry : groups.entrySet()) {
+            freshGroups =
+                    entry.getValue().atMillis() < sinceMillisLimit ? freshGroups.minus(entry.getKey()) : freshGroups;
+        }
+        return new HubState(
+                id,
+                sinceMillis,
+                heardAtMillis,
+                suspectedUntil,
+                freshGroup,
+                freshGroups,
+                fleetWork,
+                fleetDemand,
+                behind);
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -134,8 +134,7 @@
         long silence = FleetTimings.silenceMillis(state.memberCount());
         return state.peers().values().stream()
                 .filter(peer -> peer.isAlive(nowMillis, silence))
-                .filter(peer ->
-                        peer.digest().flatMap(digest -> digest.leadership()).isPresent())
+                .filter(peer -> peer.leadership().isPresent())
                 .findFirst();
     }
 
@@ -182,7 +181,7 @@
     private static long rankDelay(FleetState state, long nowMillis) {
         long silence = FleetTimings.silenceMillis(state.memberCount());
         long before = state.peers().values().stream()
-                .filter(peer -> peer.isAlive(nowMillis, silence) && !peer.isLeaving())
+                .filter(peer -> peer.isAlive(nowMillis, silence) && !peer.leaving())
                 .filter(peer -> peer.member().id().compareTo(state.self().id()) < 0)
                 .count();
         return RANK_DELAY_MILLIS * before;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -25,19 +25,20 @@
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         int members = state.memberCount();
+        if (!FleetTimings.isMesh(members)) {
+            return state;
+        }
         if (nowMillis - state.sent().digestAtMillis() >= FleetTimings.heartbeatMillis(members)) {
             return sendDigest(state, nowMillis, effects);
         }
-        boolean noticeDue = nowMillis - state.sent().noticeAtMillis() >= FleetTimings.noticeMillis(members);
+        boolean noticeDue = nowMillis - state.sent().noticeAtMillis() >= FleetTimings.NOTICE;
         return noticeDue ? sendNotice(state, nowMillis, effects) : state;
     }
 
     /** Sends a heartbeat to all members at once. */
     FleetState sendDigest(FleetState state, long nowMillis, List<FleetEffect> effects) {
         Digest digest = digest(state, nowMillis);
-        if (LeadershipFlow.holds(state, nowMillis)) {
-            withdrawLost(state, nowMillis, effects);
-        }
+        withdrawLost(state, nowMillis, effects);
         sendToAll(state, digest, effects);
         return state.with(new SentWork(nowMillis, nowMillis, digest.work()));
     }
@@ -72,7 +73,7 @@
             return state;
         }
         boolean incarnationNew = known == null
-                || known.digest().isEmpty()
+                || known.isSilentSince(nowMillis - LOST_MILLIS)
                 || !known.member().incarnation().equals(digest.member().incarnation());
         FleetState next = state.withPeers(state.peers().plus(digest.sender(), FleetPeer.heard(digest, nowMillis)));
         if (incarnationNew) {
@@ -86,7 +87,7 @@
     }
 
     /** Returns the messages that tell a new peer what the engines hold, if this entry holds the placement duty. */
-    private List<FleetEffect> residencies(FleetState state, String address, long nowMillis) {
+    static List<FleetEffect> residencies(FleetState state, String address, long nowMillis) {
         if (!LeadershipFlow.holds(state, nowMillis)) {
             return List.of();
         }
@@ -124,13 +125,15 @@
 
     /** Returns the demand of the whole fleet by service and model. */
     static Map<DemandKey, ModelDemand> fleetDemand(FleetState state, long nowMillis) {
+        if (!FleetTimings.isMesh(state.memberCount())) {
+            return sumOfDemand(state.hub().fleetDemand());
+        }
         Map<DemandKey, ModelDemand> sum = new HashMap<>();
         long silence = FleetTimings.silenceMillis(state.memberCount());
         ownDemand(state, nowMillis).forEach(demand -> add(sum, demand));
         state.peers().values().stream()
                 .filter(peer -> peer.isAlive(nowMillis, silence))
-                .flatMap(peer -> peer.digest().stream())
-                .flatMap(digest -> digest.demand().stream())
+                .flatMap(peer -> peer.demand().stream())
                 .forEach(demand -> add(sum, demand));
         return sum;
     }
@@ -156,10 +159,11 @@
                 .toList();
     }
 
-    private Digest digest(FleetState state, long nowMillis) {
+    static Digest digest(FleetState state, long nowMillis) {
         return new Digest(
                 state.self().id(),
                 state.self(),
+                nowMillis,
                 isReady(state, nowMillis),
                 !(state.stop() instanceof StopStage.Serving),
                 LeadershipFlow.claim(state, nowMillis),
@@ -168,7 +172,10 @@
     }
 
     /** Removes members that have been lost for good; one that is alive announces itself again. */
-    private static void withdrawLost(FleetState state, long nowMillis, List<FleetEffect> effects) {
+    static void withdrawLost(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        if (!LeadershipFlow.holds(state, nowMillis)) {
+            return;
+        }
         for (FleetPeer peer : state.peers().values()) {
             if (peer.isSilentSince(nowMillis - LOST_MILLIS)) {
                 effects.add(FleetEffect.Note.of(
@@ -178,7 +185,7 @@
         }
     }
 
-    private static List<ModelDemand> ownDemand(FleetState state, long nowMillis) {
+    static List<ModelDemand> ownDemand(FleetState state, long nowMillis) {
         Map<DemandKey, Integer> waiting = new HashMap<>();
         for (FleetRequest request : state.requests().values()) {
             Optional<String> model = request.call().model();
@@ -194,6 +201,13 @@
         return List.copyOf(demands);
     }
 
+    /** Adds up demand for the same model. */
+    static Map<DemandKey, ModelDemand> sumOfDemand(List<ModelDemand> demands) {
+        Map<DemandKey, ModelDemand> sum = new HashMap<>();
+        demands.forEach(demand -> add(sum, demand));
+        return sum;
+    }
+
     private static void add(Map<DemandKey, ModelDemand> sum, ModelDemand demand) {
         sum.merge(
                 new DemandKey(demand.service(), demand.model()),
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -111,7 +111,7 @@
         boolean selfStays = state.stop() instanceof StopStage.Serving;
         List<FleetPeer> members = reachable(state, nowMillis);
         List<FleetPeer> staying = members.stream()
-                .filter(peer -> peer.member().equals(state.self()) ? selfStays : !peer.isLeaving())
+                .filter(peer -> peer.member().equals(state.self()) ? selfStays : !peer.leaving())
                 .sorted(Comparator.comparingLong(
                         peer -> rank(workspace, peer.member().id())))
                 .toList();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -18,6 +18,7 @@
     private static final double OTHER_ZONE_MILLIS = 6; // two crossings of a zone border, and their price
     private static final double FAILURE_MILLIS = 1_500; // what a failed attempt costs a caller
     private static final long OVERDUE_ALLOWANCE_MILLIS = 250;
+    private static final int SPREAD_MILLIS = 100; // a prompt's reading time, by which sums a second old are off
     private static final double AVOIDED_MILLIS = 10_000; // only if there is nothing else
 
     /** A target and what is expected of it. */
@@ -45,12 +46,19 @@
                 running += work.running();
             }
         }
+        TargetWork told = state.hub().fleetWork().get(id);
+        if (told != null) {
+            // The hub's sums include what this entry has told it.
+            peersUnread += Math.max(0, told.unreadTokens() - target.unreadTokens());
+            running += Math.max(0, told.running() - target.outstanding().size());
+        }
         long unread = engine ? unreadTokens(request, target) : 0;
         double millis = engine
                 ? (unread + target.unreadTokens() + peersUnread) / TOKENS_READ_PER_MILLI
                         + STEP_MILLIS
                         + running * BATCH_MILLIS_PER_REQUEST
                 : serviceMillis(target, running);
+        millis += FleetTimings.isMesh(state.memberCount()) ? 0 : spread(request, id);
         millis += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
         millis += target.failureShare() * FAILURE_MILLIS;
         millis += overdueMillis(target, nowMillis);
@@ -71,6 +79,11 @@
         return hashes;
     }
 
+    /** Keeps entries that know the same old sums from all choosing the same target. */
+    private static long spread(FleetRequest request, String target) {
+        return Math.floorMod((request.call().callerRequestId() + target).hashCode(), SPREAD_MILLIS);
+    }
+
     private static long unreadTokens(FleetRequest request, FleetTarget target) {
         int cached = target.prefixes().matchingBlocks(prefixes(request));
         long tokens = request.call().inputTokens();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMember.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMember.java
@@ -7,5 +7,7 @@
  * @param incarnation differs with each start
  * @param peerAddress where other entries connect to
  * @param callerAddress where callers connect to
+ * @param linkMegabits capacity of the host's link in Mbit/s; hosts with more of it pass news on to others
  */
-public record FleetMember(String id, String incarnation, String zone, String peerAddress, String callerAddress) {}
+public record FleetMember(
+        String id, String incarnation, String zone, String peerAddress, String callerAddress, int linkMegabits) {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -14,6 +14,7 @@
     /**
      * Heartbeat with what the sender is doing.
      *
+     * @param stampMillis the sender's own time, which the reader of the store gives back
      * @param ready whether callers may be sent to the sender
      * @param leaving whether it is about to stop
      * @param leadership present if the sender holds the placement duty
@@ -23,6 +24,7 @@
     record Digest(
             String sender,
             FleetMember member,
+            long stampMillis,
             boolean ready,
             boolean leaving,
             Optional<LeadershipClaim> leadership,
@@ -30,6 +32,49 @@
             List<ModelDemand> demand)
             implements FleetMessage {}
 
+    /**
+     * An entry as others tell of it.
+     *
+     * @param ready whether callers may be sent to it
+     * @param leaving whether it is about to stop
+     * @param leadership present if it holds the placement duty
+     */
+    record MemberStatus(FleetMember member, boolean ready, boolean leaving, Optional<LeadershipClaim> leadership) {}
+
+    /**
+     * Entries that one entry hears directly, with the sum of what they do. Exchanged between the hubs of a large fleet.
+     *
+     * @param work work by target; requests of several entries are added up
+     * @param demand demand by model, added up
+     */
+    record GroupDigest(String sender, List<MemberStatus> members, List<TargetWork> work, List<ModelDemand> demand)
+            implements FleetMessage {}
+
+    /**
+     * The whole fleet as a hub knows it, for the entries that report to it.
+     *
+     * @param work work by target of all entries, the receiver's included
+     * @param demand demand by model; only for the holder of the placement duty
+     */
+    record Bulletin(String sender, List<MemberStatus> members, List<TargetWork> work, List<ModelDemand> demand)
+            implements FleetMessage {}
+
+    /**
+     * What a hub has read of a feed.
+     *
+     * @param fromOffset offset of the first entry
+     * @param nextOffset offset after the last one
+     */
+    record FeedNews(String sender, Feed feed, long fromOffset, List<FeedEntry> entries, long nextOffset)
+            implements FleetMessage {}
+
+    /**
+     * Where the configuration's log ends, by a read that a hub sent after it had the receiver's heartbeat.
+     *
+     * @param stampMillis the receiver's own time from that heartbeat
+     */
+    record ConfigurationEnd(String sender, long stampMillis, long nextOffset) implements FleetMessage {}
+
     /**
      * What the sender is doing, between two heartbeats.
      *
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.model.fleet.FeedEntry;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.log.LogRecord;
 import org.jackdawbeam.model.operator.OperatorAnswer;
@@ -26,6 +27,7 @@
         registerHierarchy(LogRecord.class);
         registerHierarchy(PeerMessage.class);
         registerHierarchy(FleetMessage.class);
+        registerHierarchy(FeedEntry.class);
         registerHierarchy(OperatorAnswer.class);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerLinks.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerLinks.java
@@ -33,6 +33,10 @@
     private final Map<String, Link> links = new ConcurrentHashMap<>();
     private final LongAdder bytesSent = new LongAdder();
 
+    private volatile Encoded latestEncoded;
+
+    private record Encoded(Object message, byte[] bytes) {}
+
     private static final class Link {
         private Channel channel;
         private boolean connecting;
@@ -122,11 +126,21 @@
         }
     }
 
+    /** Encodes a message once for all peers that it is sent to in a row. */
+    private byte[] encoded(M message) {
+        Encoded latest = latestEncoded;
+        if (latest == null || latest.message() != message) {
+            latest = new Encoded(message, mapper.write(message));
+            latestEncoded = latest;
+        }
+        return latest.bytes();
+    }
+
     private void write(Channel channel, M message) {
         if (!channel.isWritable()) {
             return;
         }
-        byte[] bytes = mapper.write(message);
+        byte[] bytes = encoded(message);
         bytesSent.add(bytes.length);
         channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -39,7 +39,7 @@
     private long lastRequest;
 
     static FleetMember member(String id) {
-        return new FleetMember(id, id + "/1", "zone-1", id + ":1", id + ":2");
+        return new FleetMember(id, id + "/1", "zone-1", id + ":1", id + ":2", 100);
     }
 
     /** Returns an entry that has read a configuration and the given targets. */
@@ -136,7 +136,7 @@
 
     void hear(String peer) {
         FleetMember member = member(peer);
-        hear(new FleetMessage.Digest(peer, member, true, false, Optional.empty(), List.of(), List.of()));
+        hear(new FleetMessage.Digest(peer, member, 0, true, false, Optional.empty(), List.of(), List.of()));
     }
 
     void hear(FleetMessage message) {
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -0,0 +1,147 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.junit.jupiter.api.Test;
+
+class HubFlowTest {
+    private static final int MEMBERS = 30;
+    private static final String HUB = "m29";
+    private final FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+
+    HubFlowTest() {
+        for (int number = 0; number < MEMBERS; number++) {
+            fixture.read(Feed.MEMBERS, fixture.nowMillis, new FeedEntry.Member(member(number)));
+        }
+        fixture.advance(FleetTimings.GROUP_HEARTBEAT);
+    }
+
+    /** Returns a member of the entry's zone; higher numbers have stronger links. */
+    private static FleetMember member(int number) {
+        String id = "m" + number;
+        return new FleetMember(id, id + "/1", "zone-1", id + ":1", id + ":2", 101 + number);
+    }
+
+    private void bulletin(String sender, List<TargetWork> work) {
+        fixture.hear(new FleetMessage.Bulletin(sender, List.of(), work, List.of()));
+    }
+
+    private List<String> toldTo() {
+        return fixture.all(FleetEffect.SendPeerMessage.class).stream()
+                .filter(sent -> sent.message() instanceof FleetMessage.Digest)
+                .map(FleetEffect.SendPeerMessage::address)
+                .toList();
+    }
+
+    private boolean asksTheStore(Feed feed) {
+        return fixture.all(FleetEffect.ReadFeed.class).stream().anyMatch(read -> read.feed() == feed);
+    }
+
+    @Test
+    void entryReportsToTheStrongestHostOfItsZoneOnly() {
+        assertThat(toldTo()).containsExactly(HUB + ":1");
+    }
+
+    @Test
+    void silentHubIsPassedOver() {
+        for (int beats = 0; beats < 5; beats++) {
+            fixture.advance(FleetTimings.GROUP_HEARTBEAT);
+        }
+
+        assertThat(toldTo()).containsExactly("m28:1");
+    }
+
+    @Test
+    void hubThatAnswersIsKept() {
+        for (int beats = 0; beats < 5; beats++) {
+            bulletin(HUB, List.of());
+            fixture.advance(FleetTimings.GROUP_HEARTBEAT);
+        }
+
+        assertThat(toldTo()).containsExactly(HUB + ":1");
+    }
+
+    @Test
+    void configurationIsFreshAsOfTheHeartbeatThatTheHubHadBeforeItsRead() {
+        fixture.nowMillis += 5_000;
+        fixture.hear(new FleetMessage.ConfigurationEnd(HUB, fixture.nowMillis - 400, 1));
+
+        assertThat(FeedFlow.knowsWithdrawals(fixture.state, fixture.nowMillis)).isTrue();
+        assertThat(FeedFlow.knowsWithdrawals(fixture.state, fixture.nowMillis + 4_000))
+                .isFalse();
+    }
+
+    @Test
+    void entryThatIsBehindReadsTheConfigurationItself() {
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.CONFIGURATION, false));
+        fixture.hear(new FleetMessage.ConfigurationEnd(HUB, fixture.nowMillis, 9));
+
+        fixture.advance(200);
+
+        assertThat(asksTheStore(Feed.CONFIGURATION)).isTrue();
+    }
+
+    @Test
+    void newsOfTargetsAreAppliedWithoutAskingTheStore() {
+        fixture.hear(new FleetMessage.FeedNews(
+                HUB, Feed.TARGETS, 1, List.of(new FeedEntry.Target(FleetFixture.engine("e22", "m1"))), 2));
+
+        assertThat(fixture.state.targets()).containsKey("e22");
+    }
+
+    @Test
+    void newsAfterAGapAreNotApplied() {
+        fixture.hear(new FleetMessage.FeedNews(HUB, Feed.TARGETS, 7, List.of(new FeedEntry.TargetRemoved("e1")), 8));
+
+        assertThat(fixture.state.targets()).containsKey("e1");
+        assertThat(fixture.state.feed(Feed.TARGETS).freshAtMillis()).isEmpty();
+    }
+
+    @Test
+    void hubAnswersTheEntriesThatReportToIt() {
+        FleetMember reporter = member(3);
+        fixture.hear(new FleetMessage.Digest("m3", reporter, 77, true, false, Optional.empty(), List.of(), List.of()));
+
+        fixture.advance(FleetTimings.GROUP_HEARTBEAT);
+
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .anyMatch(sent -> sent.address().equals("m3:1")
+                        && sent.message() instanceof FleetMessage.Bulletin bulletin
+                        && bulletin.members().size() == 2);
+    }
+
+    @Test
+    void hubConfirmsOnlyHeartbeatsThatItHadBeforeItAskedTheStore() {
+        long askedAt = fixture.nowMillis;
+        fixture.nowMillis += 10;
+        fixture.hear(new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+
+        fixture.read(Feed.CONFIGURATION, askedAt);
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class)).isEmpty();
+        fixture.read(Feed.CONFIGURATION, fixture.nowMillis);
+
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .extracting(FleetEffect.SendPeerMessage::message)
+                .containsExactly(new FleetMessage.ConfigurationEnd("a", 77, 1));
+    }
+
+    @Test
+    void workOfTheWholeFleetCountsForRouting() {
+        fixture.list(FleetFixture.engine("e1", "m1"), FleetFixture.engine("e22", "m1"));
+        bulletin(HUB, List.of(new TargetWork("e1", 9, 50_000, Set.of())));
+
+        fixture.chat("chat", "m1");
+
+        boolean sentElsewhere = fixture.all(FleetEffect.StartAttempt.class).stream()
+                .allMatch(start -> start.target().id().equals("e22"));
+        assertThat(sentElsewhere).isTrue();
+    }
+}
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
@@ -31,7 +31,7 @@
     void directoryDoesNotNameALeavingPeer() {
         fixture.hear("b");
         var leaving = new FleetMessage.Digest(
-                "b", FleetFixture.member("b"), true, true, Optional.empty(), List.of(), List.of());
+                "b", FleetFixture.member("b"), 0, true, true, Optional.empty(), List.of(), List.of());
 
         fixture.hear(leaving);
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
@@ -80,7 +80,7 @@
         Thread.ofVirtual().start(() -> acceptAll(script));
         MonotonicClock clock = MonotonicClock.system();
         EventLoop thread = group.next();
-        FleetMember self = new FleetMember("a", "a/1", "z", "127.0.0.1:1", "127.0.0.1:2");
+        FleetMember self = new FleetMember("a", "a/1", "z", "127.0.0.1:1", "127.0.0.1:2", 100);
         FleetBounds bounds = new FleetBounds(60_000, true, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5);
         FleetLoop loop =
                 new FleetLoop(new FleetReducer(), FleetState.initial(self, bounds), clock, thread, new FleetLog());
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -98,7 +98,7 @@
                 ready = "127.0.0.1:%d"
                 front = "127.0.0.1:%d"
                 [limits]
-                memoryMb = 430
+                linkMbps = 1000.0
                 [bounds]
                 revokeMs = 5000
                 leaseMs = 3000
