Let a request wait briefly for units that accrue soon

Change: within a fifth of the objective the request waits and asks again; tests for both sides of the limit.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPhase.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetPhase.java
@@ -12,6 +12,9 @@
      */
     record AwaitingQuota(int round, long askedAtMillis) implements FleetPhase {}
 
+    /** Waits until its workspace has accrued enough units. */
+    record AwaitingUnits(long againAtMillis) implements FleetPhase {}
+
     /** Waits for an engine that holds its model and adapter. */
     record AwaitingReplica(long sinceMillis, long wishedAtMillis) implements FleetPhase {}
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -15,6 +15,7 @@
 /** Takes in requests: route, key, rate. */
 final class RequestFlow {
     private static final long NOT_READY_RETRY_MILLIS = 200; // another entry can take the request at once
+    private static final int UNITS_PART_OF_OBJECTIVE = 5; // the rest of the objective is for the target
     private static final long MAXIMUM_RETRY_MILLIS = 2_000;
 
     private final QuotaFlow quota;
@@ -109,7 +110,7 @@
         FleetState next = decision.state().with(request);
         return switch (decision.verdict()) {
             case QuotaFlow.Verdict.Granted granted -> dispatch.dispatch(next, request, nowMillis, effects);
-            case QuotaFlow.Verdict.Denied denied -> deny(next, request, denied.retryAfterMillis(), effects);
+            case QuotaFlow.Verdict.Denied denied -> deny(next, request, denied.retryAfterMillis(), nowMillis, effects);
             case QuotaFlow.Verdict.Elsewhere elsewhere -> {
                 FleetMessage question = new FleetMessage.QuotaQuestion(
                         state.self().id(), request.id(), round, workspace.name(), request.units());
@@ -131,10 +132,10 @@
         }
         return answer.granted()
                 ? dispatch.dispatch(state, request, nowMillis, effects)
-                : deny(state, request, answer.retryAfterMillis(), effects);
+                : deny(state, request, answer.retryAfterMillis(), nowMillis, effects);
     }
 
-    /** Asks the next entry where the one that counts has not answered. */
+    /** Asks the next entry where the one that counts has not answered, and again for units that have accrued. */
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
         for (FleetRequest request : state.requests().values()) {
@@ -142,6 +143,9 @@
                     && nowMillis - awaiting.askedAtMillis() >= FleetTimings.QUOTA_ANSWER) {
                 next = askAgain(next, request, awaiting.round() + 1, nowMillis, effects);
             }
+            if (request.phase() instanceof FleetPhase.AwaitingUnits awaiting && nowMillis >= awaiting.againAtMillis()) {
+                next = askAgain(next, request, 0, nowMillis, effects);
+            }
         }
         return next;
     }
@@ -158,7 +162,14 @@
         return takeUnits(state, request, workspace.get(), round, nowMillis, effects);
     }
 
-    private FleetState deny(FleetState state, FleetRequest request, long retryAfterMillis, List<FleetEffect> effects) {
+    /** Refuses a request over the rate, unless its units accrue while it can still be on time. */
+    private FleetState deny(
+            FleetState state, FleetRequest request, long retryAfterMillis, long nowMillis, List<FleetEffect> effects) {
+        long againAt = nowMillis + retryAfterMillis;
+        long latest = request.arrivedAtMillis() + request.route().objectiveMillis() / UNITS_PART_OF_OBJECTIVE;
+        if (againAt <= latest) {
+            return state.with(request.in(new FleetPhase.AwaitingUnits(againAt)));
+        }
         long retryAfter = Math.min(MAXIMUM_RETRY_MILLIS, retryAfterMillis);
         Refusal refusal = Refusal.notRun(RefusalCode.OVER_RATE, retryAfter);
         String reason = "workspace over its rate, units " + Math.round(request.units());
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
@@ -148,6 +148,37 @@
                 .hasValue(700);
     }
 
+    @Test
+    void requestThatCanBePaidSoonWaitsInsteadOfBeingRefused() {
+        FleetFixture fixture = askingElsewhere();
+        long request = fixture.call("pay");
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, false, 40));
+        assertThat(fixture.all(FleetEffect.RefuseRequest.class)).isEmpty();
+
+        fixture.advance(50);
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .anyMatch(sent -> sent.message() instanceof FleetMessage.QuotaQuestion);
+        fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, true, 0));
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void requestDoesNotWaitForUnitsLongerThanItsObjectiveAllows() {
+        FleetFixture fixture = askingElsewhere();
+        long request = fixture.call("pay");
+        for (int round = 0;
+                round < 10 && fixture.all(FleetEffect.RefuseRequest.class).isEmpty();
+                round++) {
+            fixture.hear(new FleetMessage.QuotaAnswer("b", request, 0, false, 40));
+            if (fixture.all(FleetEffect.RefuseRequest.class).isEmpty()) {
+                fixture.advance(50);
+            }
+        }
+
+        assertThat(refusal(fixture)).isEqualTo(RefusalCode.OVER_RATE);
+    }
+
     @Test
     void nextEntryIsAskedWhenTheOneThatCountsIsSilent() {
         FleetFixture fixture = askingElsewhere();
