Ignore reports and list entries that are older than an accepted order

By reading the flow: a report sent before a load was accepted, or an entry of the list written before it, was read after it; it said that the engine was not busy, or did not hold the model, and the next load came on top. Both shown by tests that failed first. Ruled out: late orders (the count protects), adapter places (counted apart since). Change: reports of fewer orders than known are not used, the holder plans by its own ledger of models, and what it told goes before list entries for 3 s.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EngineDuty.java
@@ -1,21 +1,26 @@
 package org.jackdawbeam.logic.fleet;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.log.OrderAction;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
- * What the holder of the placement duty knows of an engine.
+ * What the holder of the placement duty knows of an engine, by its own orders and the engine's reports.
  *
  * @param startedAtMillis Unix time of the engine's start; nothing is known of another start
  * @param orderCount orders that the engine has accepted; empty if a report is needed
+ * @param lowestCount orders that it has accepted at least; a report of fewer is out of date
  * @param underWay order without an answer
  * @param changing model that is being loaded or unloaded
  * @param changedAtMillis when that change was accepted
+ * @param models models that it holds or is loading; empty before the first report
  * @param reportAsked whether a report is under way
  * @param reportAtMillis when to ask for a report
  * @param adapters adapters that it holds or that are on their way to it
@@ -23,9 +28,11 @@
 public record EngineDuty(
         long startedAtMillis,
         OptionalLong orderCount,
+        long lowestCount,
         Optional<EngineOrder> underWay,
         Optional<String> changing,
         long changedAtMillis,
+        Optional<Set<String>> models,
         boolean reportAsked,
         long reportAtMillis,
         PMap<AdapterKey, AdapterPlace> adapters) {
@@ -36,9 +43,11 @@
         return new EngineDuty(
                 startedAtMillis,
                 OptionalLong.empty(),
+                0,
                 Optional.empty(),
                 Optional.empty(),
                 0,
+                Optional.empty(),
                 false,
                 0,
                 HashTreePMap.empty());
@@ -53,32 +62,91 @@
         return new EngineDuty(
                 startedAtMillis,
                 orderCount,
+                lowestCount,
                 Optional.of(order),
                 changing,
                 changedAtMillis,
+                models,
                 reportAsked,
                 reportAtMillis,
                 adapters);
     }
 
-    /** Returns the duty after an answer; the order counts if the engine accepted it. */
+    /** Returns the duty after an answer; without a count a report is needed before the next order. */
     EngineDuty answered(OptionalLong count, long reportAt) {
         return new EngineDuty(
-                startedAtMillis, count, Optional.empty(), changing, changedAtMillis, reportAsked, reportAt, adapters);
+                startedAtMillis,
+                count,
+                Math.max(lowestCount, count.orElse(0)),
+                Optional.empty(),
+                changing,
+                changedAtMillis,
+                models,
+                reportAsked,
+                reportAt,
+                adapters);
     }
 
-    EngineDuty changing(Optional<String> model, long nowMillis, long reportAt) {
-        return new EngineDuty(startedAtMillis, orderCount, underWay, model, nowMillis, reportAsked, reportAt, adapters);
+    /** Returns the duty after the engine has begun to load or drop a model. */
+    EngineDuty changing(EngineOrder order, long nowMillis, long reportAt) {
+        Set<String> held = new HashSet<>(models.orElse(Set.of()));
+        if (order.action() == OrderAction.LOAD_MODEL) {
+            held.add(order.model());
+        }
+        return new EngineDuty(
+                startedAtMillis,
+                orderCount,
+                lowestCount,
+                underWay,
+                Optional.of(order.model()),
+                nowMillis,
+                models.map(known -> Set.copyOf(held)),
+                reportAsked,
+                reportAt,
+                adapters);
     }
 
     EngineDuty askedForReport() {
         return new EngineDuty(
-                startedAtMillis, orderCount, underWay, changing, changedAtMillis, true, reportAtMillis, adapters);
+                startedAtMillis,
+                orderCount,
+                lowestCount,
+                underWay,
+                changing,
+                changedAtMillis,
+                models,
+                true,
+                reportAtMillis,
+                adapters);
     }
 
-    EngineDuty reported(OptionalLong count, Optional<String> stillChanging, long reportAt) {
+    /** Returns the duty after a report that could not be used. */
+    EngineDuty askAgainAt(long reportAt) {
         return new EngineDuty(
-                startedAtMillis, count, underWay, stillChanging, changedAtMillis, false, reportAt, adapters);
+                startedAtMillis,
+                orderCount,
+                lowestCount,
+                underWay,
+                changing,
+                changedAtMillis,
+                models,
+                false,
+                reportAt,
+                adapters);
+    }
+
+    EngineDuty reported(TargetReport report, Optional<String> stillChanging, long reportAt) {
+        return new EngineDuty(
+                startedAtMillis,
+                OptionalLong.of(report.orderCount()),
+                report.orderCount(),
+                underWay,
+                stillChanging,
+                changedAtMillis,
+                Optional.of(report.models()),
+                false,
+                reportAt,
+                adapters);
     }
 
     /** Returns the duty after requests have used adapters, each given as model and adapter with a slash between. */
@@ -102,6 +170,15 @@
 
     EngineDuty withAdapters(PMap<AdapterKey, AdapterPlace> held) {
         return new EngineDuty(
-                startedAtMillis, orderCount, underWay, changing, changedAtMillis, reportAsked, reportAtMillis, held);
+                startedAtMillis,
+                orderCount,
+                lowestCount,
+                underWay,
+                changing,
+                changedAtMillis,
+                models,
+                reportAsked,
+                reportAtMillis,
+                held);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -101,7 +101,7 @@
     private FleetState apply(FleetState state, FeedEntry entry, long nowMillis, List<FleetEffect> effects) {
         return switch (entry) {
             case FeedEntry.Configuration news -> configure(state, news.configuration(), effects);
-            case FeedEntry.Target news -> describe(state, news.description(), effects);
+            case FeedEntry.Target news -> describe(state, news.description(), nowMillis, effects);
             case FeedEntry.TargetRemoved removed -> remove(state, removed.id(), nowMillis, effects);
             case FeedEntry.Member news -> join(state, news.member(), nowMillis, effects);
             case FeedEntry.MemberRemoved removed -> leave(state, removed.id(), effects);
@@ -132,7 +132,8 @@
         return state.with(news);
     }
 
-    private static FleetState describe(FleetState state, TargetDescription news, List<FleetEffect> effects) {
+    private static FleetState describe(
+            FleetState state, TargetDescription news, long nowMillis, List<FleetEffect> effects) {
         FleetTarget known = state.targets().get(news.id());
         boolean changed = known == null || known.description().leaving() != news.leaving();
         if (changed) {
@@ -149,7 +150,7 @@
                     "models",
                     String.join("+", news.models())));
         }
-        return state.with(known == null ? FleetTarget.of(news) : known.described(news));
+        return state.with(known == null ? FleetTarget.of(news) : known.described(news, nowMillis));
     }
 
     private static FleetState removeMissing(FleetState state, FleetEvent.FeedRead event, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -99,7 +99,7 @@
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
             case FleetMessage.PlacementWish wish -> placement.onWish(state, nowMillis, wish, effects);
             case FleetMessage.Residency residency ->
-                dispatch.tick(peers.onResidency(state, residency), nowMillis, effects);
+                dispatch.tick(peers.onResidency(state, residency, nowMillis), nowMillis, effects);
         };
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -22,6 +22,7 @@
  * @param avoidedUntilMillis until when other targets are preferred
  * @param prefixes prompt parts that it has probably cached
  * @param load what it said of its load with its latest answer
+ * @param residencyAtMillis when the holder of the placement duty last told what it holds; long ago if never
  * @param goneAtMillis when it counts as gone, if its entry in the list has lapsed
  */
 public record FleetTarget(
@@ -34,7 +35,12 @@
         long avoidedUntilMillis,
         PrefixIndex prefixes,
         Optional<TargetLoad> load,
+        long residencyAtMillis,
         OptionalLong goneAtMillis) {
+    private static final long NEVER = -1_000_000_000;
+    /** Entries of the list that were written before a change are read at most about this much later. */
+    private static final long RESIDENCY_TRUST_MILLIS = 3_000;
+
     private static final double FAILURE_WEIGHT = 0.15; // about the last seven attempts count
     private static final long FIRST_AVOIDANCE_MILLIS = 250; // a restart or a lost connection is over by then
     private static final int MAXIMUM_DOUBLINGS = 3; // 2 s at most, so that a restarted target is found soon
@@ -50,17 +56,19 @@
                 0,
                 PrefixIndex.empty(),
                 Optional.empty(),
+                NEVER,
                 OptionalLong.empty());
     }
 
     /** Returns the target with news from the list. A restart under the same id clears what was known of it. */
-    FleetTarget described(TargetDescription news) {
+    FleetTarget described(TargetDescription news, long nowMillis) {
         boolean restarted = news.startedAtMillis() != description.startedAtMillis()
                 || !news.address().equals(description.address());
+        boolean toldSince = nowMillis - residencyAtMillis < RESIDENCY_TRUST_MILLIS;
         return restarted
                 ? of(news)
                 : new FleetTarget(
-                        news,
+                        toldSince ? news.withModels(description.models()) : news,
                         adapters,
                         unloading,
                         outstanding,
@@ -69,6 +77,7 @@
                         avoidedUntilMillis,
                         prefixes,
                         load,
+                        residencyAtMillis,
                         OptionalLong.empty());
     }
 
@@ -83,15 +92,21 @@
                 avoidedUntilMillis,
                 prefixes,
                 load,
+                residencyAtMillis,
                 OptionalLong.of(goneAt));
     }
 
     FleetTarget withAdapters(Map<String, Set<String>> held) {
-        return withResidency(description.models(), held, unloading);
+        return withResidency(description.models(), held, unloading, residencyAtMillis);
+    }
+
+    FleetTarget withUnloading(Set<String> leavingModels) {
+        return withResidency(description.models(), adapters, leavingModels, residencyAtMillis);
     }
 
     /** Returns the target with what the holder of the placement duty knows of it. */
-    FleetTarget withResidency(Set<String> models, Map<String, Set<String>> held, Set<String> leavingModels) {
+    FleetTarget withResidency(
+            Set<String> models, Map<String, Set<String>> held, Set<String> leavingModels, long atMillis) {
         return new FleetTarget(
                 description.withModels(models),
                 held,
@@ -102,9 +117,16 @@
                 avoidedUntilMillis,
                 prefixes,
                 load,
+                atMillis,
                 goneAtMillis);
     }
 
+    boolean holdsTheSameAs(FleetTarget other) {
+        return description.models().equals(other.description().models())
+                && adapters.equals(other.adapters())
+                && unloading.equals(other.unloading());
+    }
+
     FleetTarget withPrefixes(PrefixIndex index) {
         return new FleetTarget(
                 description,
@@ -116,6 +138,7 @@
                 avoidedUntilMillis,
                 index,
                 load,
+                residencyAtMillis,
                 goneAtMillis);
     }
 
@@ -130,6 +153,7 @@
                 avoidedUntilMillis,
                 prefixes,
                 stated.isPresent() ? stated : load,
+                residencyAtMillis,
                 goneAtMillis);
     }
 
@@ -187,6 +211,7 @@
                 avoidedUntilMillis,
                 prefixes,
                 load,
+                residencyAtMillis,
                 goneAtMillis);
     }
 
@@ -201,6 +226,7 @@
                 avoidedUntil,
                 prefixes,
                 load,
+                residencyAtMillis,
                 goneAtMillis);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -27,7 +27,7 @@
     /** Up to this many members each tells all others; beyond, messages would take too much of a small host. */
     static final int LARGEST_MESH = 16;
     /** Time between the messages of a fleet that reports to hubs. */
-    static final long GROUP_HEARTBEAT = 500;
+    static final long GROUP_HEARTBEAT = 300;
     /** How long a hub's store may hold a read of the configuration; the others' freshness depends on it. */
     static final long HUB_CONFIGURATION_WAIT = 500;
     /** Age of the latest read after which an entry asks the store itself although it has a hub. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -108,12 +108,12 @@
                 target.unloading());
     }
 
-    FleetState onResidency(FleetState state, FleetMessage.Residency residency) {
+    FleetState onResidency(FleetState state, FleetMessage.Residency residency, long nowMillis) {
         FleetTarget target = state.targets().get(residency.target());
         boolean same = target != null && target.description().startedAtMillis() == residency.startedAtMillis();
         return same
-                ? state.with(
-                        target.withResidency(residency.models(), residency.adaptersByModel(), residency.unloading()))
+                ? state.with(target.withResidency(
+                        residency.models(), residency.adaptersByModel(), residency.unloading(), nowMillis))
                 : state;
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -97,25 +97,26 @@
         }
         EngineDuty duty = duty(state, target);
         boolean usable = event.report()
-                .map(report -> report.startedAtMillis() == target.description().startedAtMillis())
+                .map(report -> report.startedAtMillis() == target.description().startedAtMillis()
+                        && report.orderCount() >= duty.lowestCount())
                 .orElse(false);
         if (!usable) {
-            EngineDuty again = duty.reported(duty.orderCount(), duty.changing(), event.nowMillis() + REPORT_MILLIS);
+            EngineDuty again = duty.askAgainAt(event.nowMillis() + REPORT_MILLIS);
             return state.with(state.placement().with(event.target(), again));
         }
         TargetReport report = event.report().get();
-        long count = Math.max(report.orderCount(), duty.orderCount().orElse(0));
         boolean settled = !report.busy() && event.nowMillis() - duty.changedAtMillis() > REPORT_MILLIS;
         Optional<String> changing = settled
                 ? Optional.empty()
                 : duty.changing().or(() -> report.busy() ? Optional.of(EngineDuty.UNKNOWN_MODEL) : Optional.empty());
         long reportAt = changing.isPresent() ? event.nowMillis() + REPORT_MILLIS : Long.MAX_VALUE;
-        EngineDuty known = duty.reported(OptionalLong.of(count), changing, reportAt);
+        EngineDuty known = duty.reported(report, changing, reportAt);
         boolean ordersSince = duty.orderCount().isPresent()
                 && report.orderCount() < duty.orderCount().getAsLong();
         EngineDuty corrected = ordersSince ? known : known.withAdapters(reported(report, duty, event.nowMillis()));
         Set<String> unloading = settled ? Set.of() : target.unloading();
-        FleetTarget described = target.withResidency(report.models(), usable(corrected, event.nowMillis()), unloading);
+        FleetTarget described = target.withResidency(
+                report.models(), usable(corrected, event.nowMillis()), unloading, event.nowMillis());
         effects.add(FleetEffect.Note.of(
                 "engine_reported",
                 "target",
@@ -130,7 +131,7 @@
                 String.join("+", report.models()),
                 "adapters",
                 report.adapters()));
-        if (!described.equals(target)) {
+        if (!described.holdsTheSameAs(target)) {
             broadcast(state, described, effects);
         }
         return state.with(state.placement().with(event.target(), corrected)).with(described);
@@ -166,7 +167,7 @@
             case HOLDS -> holds(state, target, duty, order, nowMillis, effects);
             case CONFLICT, REJECTED, UNKNOWN -> {
                 EngineDuty unsure = duty.answered(OptionalLong.empty(), nowMillis + REPORT_MILLIS);
-                FleetTarget kept = target.withResidency(target.description().models(), target.adapters(), Set.of());
+                FleetTarget kept = target.withUnloading(Set.of());
                 yield state.with(state.placement().with(order.target(), unsure)).with(kept);
             }
             case FENCED ->
@@ -186,8 +187,7 @@
             List<FleetEffect> effects) {
         EngineDuty counted = duty.answered(OptionalLong.of(order.expectedCount() + 1), duty.reportAtMillis());
         if (order.adapter().isEmpty()) {
-            EngineDuty changing =
-                    counted.changing(Optional.of(order.model()), nowMillis, nowMillis + FIRST_REPORT_MILLIS);
+            EngineDuty changing = counted.changing(order, nowMillis, nowMillis + FIRST_REPORT_MILLIS);
             return state.with(state.placement().with(order.target(), changing));
         }
         // An engine that does not answer that it is done still has requests of the adapter; a report tells the end.
@@ -394,8 +394,7 @@
                 yield order(paid, target, OrderAction.LOAD_MODEL, load.model(), Optional.empty(), effects);
             }
             case ReplicaPlanner.Move.Unload unload -> {
-                FleetTarget dropping =
-                        target.withResidency(target.description().models(), target.adapters(), Set.of(unload.model()));
+                FleetTarget dropping = target.withUnloading(Set.of(unload.model()));
                 broadcast(state, dropping, effects);
                 yield order(
                         state.with(dropping),
@@ -416,7 +415,8 @@
                         .map(EngineOrder::model))
                 .filter(model -> !model.equals(EngineDuty.UNKNOWN_MODEL))
                 .filter(model -> !target.unloading().contains(model));
-        Set<String> kept = new HashSet<>(target.description().models());
+        Set<String> kept =
+                new HashSet<>(duty.models().orElse(target.description().models()));
         kept.removeAll(target.unloading());
         return new ReplicaPlanner.Engine(
                 target.description().id(),
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -18,10 +18,17 @@
     private static final double OTHER_ZONE_MILLIS = 6; // two crossings of a zone border, and their price
     private static final double FAILURE_MILLIS = 1_500; // what a failed attempt costs a caller
     private static final long OVERDUE_ALLOWANCE_MILLIS = 250;
-    private static final int SPREAD_MILLIS = 100; // a prompt's reading time, by which sums a second old are off
+    private static final double SUM_AGE_SECONDS = 0.6; // two heartbeats between an entry and another zone's
+    private static final long LARGEST_SPREAD_MILLIS = 400; // well below the objectives
+    private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L; // spreads neighbouring hashes
     private static final double AVOIDED_MILLIS = 10_000; // only if there is nothing else
 
-    /** A target and what is expected of it. */
+    /**
+     * A target and what is expected of it.
+     *
+     * @param unreadTokens prompt tokens that it has to read
+     * @param estimateMillis expected time to the first byte
+     */
     record Choice(FleetTarget target, long unreadTokens, long estimateMillis) {}
 
     private TargetChooser() {}
@@ -29,9 +36,10 @@
     /** Returns the best of the given targets for the request, those that have failed it last. */
     static Optional<Choice> best(
             FleetState state, FleetRequest request, List<FleetTarget> candidates, boolean engine, long nowMillis) {
+        long spread = spreadMillis(state, request, candidates.size(), nowMillis);
         return candidates.stream()
                 .map(target -> estimate(state, request, target, engine, nowMillis))
-                .min(Comparator.comparingLong(Choice::estimateMillis));
+                .min(Comparator.comparingLong(choice -> choice.estimateMillis() + jitter(request, choice, spread)));
     }
 
     static Choice estimate(FleetState state, FleetRequest request, FleetTarget target, boolean engine, long nowMillis) {
@@ -58,7 +66,6 @@
                         + STEP_MILLIS
                         + running * BATCH_MILLIS_PER_REQUEST
                 : serviceMillis(target, running);
-        millis += FleetTimings.isMesh(state.memberCount()) ? 0 : spread(request, id);
         millis += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
         millis += target.failureShare() * FAILURE_MILLIS;
         millis += overdueMillis(target, nowMillis);
@@ -79,9 +86,26 @@
         return hashes;
     }
 
-    /** Keeps entries that know the same old sums from all choosing the same target. */
-    private static long spread(FleetRequest request, String target) {
-        return Math.floorMod((request.call().callerRequestId() + target).hashCode(), SPREAD_MILLIS);
+    /**
+     * Returns by how much choices are spread, to keep entries that know the same old sums from all choosing the same
+     * target: the time that a replica needs to read what the fleet sends to it while the sums age.
+     */
+    private static long spreadMillis(FleetState state, FleetRequest request, int replicas, long nowMillis) {
+        Optional<String> model = request.call().model();
+        if (FleetTimings.isMesh(state.memberCount()) || model.isEmpty() || replicas == 0) {
+            return 0;
+        }
+        double ownTokensPerSecond =
+                state.demand().at(nowMillis).getOrDefault(new DemandKey(request.service(), model.get()).text(), 0.0);
+        double tokens = ownTokensPerSecond * state.memberCount() / replicas * SUM_AGE_SECONDS;
+        return Math.min(LARGEST_SPREAD_MILLIS, Math.round(tokens / TOKENS_READ_PER_MILLI));
+    }
+
+    private static long jitter(FleetRequest request, Choice choice, long spreadMillis) {
+        int hash = (request.call().callerRequestId()
+                        + choice.target().description().id())
+                .hashCode();
+        return spreadMillis == 0 ? 0 : Math.floorMod(hash * HASH_MULTIPLIER, spreadMillis);
     }
 
     private static long unreadTokens(FleetRequest request, FleetTarget target) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -168,6 +168,49 @@
         assertThat(successor.all(FleetEffect.SendOrder.class)).hasSize(1);
     }
 
+    /** Returns an entry whose only engine has just accepted to load a second model; a third one is asked for. */
+    private static FleetFixture loadingSecondModel() {
+        FleetFixture loading = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        loading.takeDuty(4);
+        loading.report("e1", 3, Set.of("m1"), Map.of());
+        loading.advanceInContact(500);
+        loading.renewDuty();
+        loading.chat("chat", "m2");
+        loading.advance(200);
+        EngineOrder order = loading.only(FleetEffect.SendOrder.class).order();
+        loading.apply(new FleetEvent.OrderAnswered(loading.nowMillis, order, OrderResponse.ACCEPTED));
+        loading.chat("chat", "m3");
+        return loading;
+    }
+
+    @Test
+    void reportFromBeforeAnAcceptedLoadDoesNotFreeTheEngine() {
+        FleetFixture loading = loadingSecondModel();
+        loading.advanceInContact(500);
+        loading.renewDuty();
+
+        loading.report("e1", 3, Set.of("m1"), Map.of());
+        loading.advance(200);
+
+        assertThat(loading.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+
+    @Test
+    void listEntryFromBeforeALoadDoesNotFreeItsMemory() {
+        FleetFixture loading = loadingSecondModel();
+        loading.advanceInContact(500);
+        loading.renewDuty();
+        loading.report("e1", 4, Set.of("m1", "m2"), Map.of());
+
+        loading.list(FleetFixture.engine("e1", "m1"));
+        loading.advance(200);
+
+        assertThat(loading.all(FleetEffect.SendOrder.class))
+                .noneMatch(sent -> sent.order().action() == OrderAction.LOAD_MODEL);
+        assertThat(loading.state.targets().get("e1").holds("m2", Optional.empty()))
+                .isTrue();
+    }
+
     @Test
     void everybodyLearnsWhichModelIsAboutToGo() {
         FleetFixture full = FleetFixture.serving(FleetFixture.engine("e1", "m1", "m2"));
