Revert ranks of requests by their route

Less urgent requests waited at engines behind urgent ones until their callers left, which the estimate of the queue does not foresee.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -10,7 +10,7 @@
  *
  * @param workspace name of the workspace; empty on open routes
  * @param units what it costs of the workspace's rate
- * @param priority rank at targets, 0 is the highest
+ * @param priority rank, 0 is the highest
  * @param expiresAtMillis when the caller's deadline or the route's timeout passes, whichever is first
  * @param attempts number of attempts so far
  * @param executions attempts that may have been executed
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -15,7 +15,6 @@
 /** Takes in requests: route, key, rate. */
 final class RequestFlow {
     private static final long NOT_READY_RETRY_MILLIS = 200; // another entry can take the request at once
-    private static final int RANKS_PER_WORKSPACE = 3; // engines know ten ranks, workspaces and routes use about three
     private static final int UNITS_PART_OF_OBJECTIVE = 5; // the rest of the objective is for the target
     private static final long MAXIMUM_RETRY_MILLIS = 2_000;
 
@@ -81,7 +80,9 @@
                 service,
                 workspace.map(Workspace::name),
                 workspace.map(owner -> units(owner, call)).orElse(0.0),
-                rank(workspace, route),
+                workspace
+                        .map(owner -> owner.priority().orElse(route.priority()))
+                        .orElse(route.priority()),
                 event.nowMillis(),
                 event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
                 0,
@@ -186,17 +187,6 @@
         return state;
     }
 
-    /** Returns the rank at a target: the workspace's priority goes first, the route's decides among its requests. */
-    private static int rank(Optional<Workspace> workspace, Route route) {
-        int withinWorkspace = Math.clamp(route.priority(), 0, RANKS_PER_WORKSPACE - 1);
-        return workspace
-                .flatMap(owner -> owner.priority().isPresent()
-                        ? Optional.of(owner.priority().getAsInt())
-                        : Optional.empty())
-                .map(priority -> priority * RANKS_PER_WORKSPACE + withinWorkspace)
-                .orElse(route.priority() * RANKS_PER_WORKSPACE);
-    }
-
     private static double units(Workspace workspace, CallerRequest call) {
         if (!workspace.countsTokens()) {
             return 1;
