Ask the store without delay after an outage; take adapters out of PlacementFlow

Ruled out: the pause between tries (0.4 s at most). Change: reads after a failure do not wait; forgotten history is no failure. Test shown failing first. PlacementFlow is split into AdapterFlow, Engines and PlacementFlow without a change of behaviour.

--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -0,0 +1,199 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.EngineDefinition;
+import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.FleetMessage.PlacementWish;
+import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.log.OrderAction;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Loads adapters that are asked for, while this entry holds the placement duty. The places that adapters take on an engine
+ * are counted apart from the adapters that requests can use already.
+ */
+final class AdapterFlow {
+    private static final long ADAPTER_WISH_MILLIS = 1_500; // a wish that is still needed is repeated sooner
+    private static final long ADAPTER_LOAD_MILLIS = 16; // the largest adapter arrives within 14 ms
+    private static final long ADAPTER_KEEP_MILLIS = 400; // more than the time between heartbeats that tell its use
+    private static final long ARRIVAL_MEMORY_MILLIS = 500; // ten times the pause between looks
+
+    FleetState onWish(FleetState state, long nowMillis, PlacementWish wish, List<FleetEffect> effects) {
+        if (!LeadershipFlow.holds(state, nowMillis)
+                || wish.adapter().isEmpty()
+                || wish.target().isEmpty()) {
+            return state;
+        }
+        FleetTarget target = state.targets().get(wish.target().get());
+        if (target == null) {
+            return state;
+        }
+        AdapterKey key = new AdapterKey(wish.model(), wish.adapter().get());
+        EngineDuty duty = Engines.duty(state, target);
+        AdapterPlace place = duty.adapters().get(key);
+        if (place != null) {
+            FleetState wanted = state.with(
+                    state.placement().with(target.description().id(), duty.with(key, place.wanted(nowMillis))));
+            return announce(wanted, target, nowMillis, effects);
+        }
+        PlacementWish anonymous = new PlacementWish("", wish.service(), wish.model(), wish.adapter(), wish.target());
+        FleetState wished = state.with(state.placement().with(anonymous, nowMillis));
+        return state.configuration()
+                .flatMap(known -> known.engine(wish.service()))
+                .map(engine -> loadAdapters(wished, wish.service(), engine, nowMillis, effects))
+                .orElse(wished);
+    }
+
+    /** Keeps the adapters that requests use. */
+    FleetState noteUse(FleetState state, long nowMillis, List<TargetWork> work) {
+        if (!LeadershipFlow.holds(state, nowMillis)) {
+            return state;
+        }
+        FleetState next = state;
+        for (TargetWork item : work) {
+            FleetTarget target = next.targets().get(item.target());
+            if (target != null && !item.adapters().isEmpty()) {
+                next = next.with(next.placement()
+                        .with(item.target(), Engines.duty(next, target).wanted(item.adapters(), nowMillis)));
+            }
+        }
+        return next;
+    }
+
+    FleetState loadAdapters(
+            FleetState state, String service, EngineDefinition engine, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (Map.Entry<PlacementWish, Long> wish : state.placement().wishes().entrySet()) {
+            if (wish.getKey().service().equals(service)) {
+                next = loadAdapter(next, engine, wish.getKey(), wish.getValue(), nowMillis, effects);
+            }
+        }
+        return next;
+    }
+
+    private static FleetState loadAdapter(
+            FleetState state,
+            EngineDefinition engine,
+            PlacementWish wish,
+            long wishedAtMillis,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        String id = wish.target().orElseThrow();
+        String adapter = wish.adapter().orElseThrow();
+        FleetTarget target = state.targets().get(id);
+        FleetState without = state.with(state.placement().without(wish));
+        boolean pointless = target == null
+                || target.description().leaving()
+                || !target.holds(wish.model(), Optional.empty())
+                || Engines.duty(state, target).adapters().containsKey(new AdapterKey(wish.model(), adapter))
+                || nowMillis - wishedAtMillis > ADAPTER_WISH_MILLIS;
+        if (pointless) {
+            return without;
+        }
+        EngineDuty duty = Engines.duty(state, target);
+        if (!duty.isIdle()) {
+            return state;
+        }
+        if (duty.adapters().size() < engine.adapterPlaces()) {
+            return Engines.order(
+                    without, target, OrderAction.LOAD_ADAPTER, wish.model(), Optional.of(adapter), effects);
+        }
+        return dropAdapter(state, target, duty, nowMillis, effects);
+    }
+
+    /** Drops the adapter that no request has needed for the longest; one that was needed just now stays. */
+    private static FleetState dropAdapter(
+            FleetState state, FleetTarget target, EngineDuty duty, long nowMillis, List<FleetEffect> effects) {
+        Optional<AdapterKey> oldest = duty.adapters().entrySet().stream()
+                .filter(entry -> nowMillis - entry.getValue().wantedAtMillis() > ADAPTER_KEEP_MILLIS)
+                .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterPlace> entry) ->
+                                entry.getValue().wantedAtMillis())
+                        .thenComparing(entry -> entry.getKey().adapter()))
+                .map(Map.Entry::getKey);
+        if (oldest.isEmpty()) {
+            return state;
+        }
+        AdapterKey key = oldest.get();
+        EngineDuty leaving = duty.with(key, duty.adapters().get(key).leaving());
+        String id = target.description().id();
+        FleetState told = announce(state.with(state.placement().with(id, leaving)), target, nowMillis, effects);
+        return Engines.order(
+                told,
+                told.targets().get(id),
+                OrderAction.UNLOAD_ADAPTER,
+                key.model(),
+                Optional.of(key.adapter()),
+                effects);
+    }
+
+    FleetState withAdapter(
+            FleetState state,
+            FleetTarget target,
+            EngineDuty duty,
+            EngineOrder order,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        AdapterKey key = new AdapterKey(order.model(), order.adapter().orElseThrow());
+        if (order.action() == OrderAction.UNLOAD_ADAPTER) {
+            return state.with(state.placement().with(order.target(), duty.without(key)));
+        }
+        effects.add(new FleetEffect.WakeAfter(ADAPTER_LOAD_MILLIS));
+        AdapterPlace place = new AdapterPlace(nowMillis + ADAPTER_LOAD_MILLIS, nowMillis);
+        return state.with(state.placement().with(order.target(), duty.with(key, place)));
+    }
+
+    /** Tells everybody which adapters of an engine can be used, if that has changed. */
+    private static FleetState announce(
+            FleetState state, FleetTarget target, long nowMillis, List<FleetEffect> effects) {
+        FleetTarget changed = target.withAdapters(usable(Engines.duty(state, target), nowMillis));
+        Engines.broadcast(state, changed, effects);
+        return state.with(changed);
+    }
+
+    FleetState announceArrived(FleetState state, String service, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FleetTarget target : Engines.all(state, service)) {
+            boolean arrived = Engines.duty(state, target).adapters().entrySet().stream()
+                    .anyMatch(entry -> entry.getValue().usableAtMillis() <= nowMillis
+                            && entry.getValue().usableAtMillis() > nowMillis - ARRIVAL_MEMORY_MILLIS
+                            && !holds(target, entry.getKey()));
+            next = arrived ? announce(next, target, nowMillis, effects) : next;
+        }
+        return next;
+    }
+
+    private static boolean holds(FleetTarget target, AdapterKey key) {
+        return target.adapters().getOrDefault(key.model(), Set.of()).contains(key.adapter());
+    }
+
+    static Map<String, Set<String>> usable(EngineDuty duty, long nowMillis) {
+        Map<String, Set<String>> byModel = new HashMap<>();
+        duty.adapters().forEach((key, place) -> {
+            if (place.usableAtMillis() <= nowMillis) {
+                byModel.computeIfAbsent(key.model(), model -> new HashSet<>()).add(key.adapter());
+            }
+        });
+        byModel.replaceAll((model, adapters) -> Set.copyOf(adapters));
+        return Map.copyOf(byModel);
+    }
+
+    static PMap<AdapterKey, AdapterPlace> reported(TargetReport report, EngineDuty duty, long nowMillis) {
+        PMap<AdapterKey, AdapterPlace> adapters = HashTreePMap.empty();
+        for (Map.Entry<String, Set<String>> model : report.adapters().entrySet()) {
+            for (String adapter : model.getValue()) {
+                AdapterKey key = new AdapterKey(model.getKey(), adapter);
+                AdapterPlace known = duty.adapters().get(key);
+                adapters = adapters.plus(key, known == null ? new AdapterPlace(nowMillis, 0) : known);
+            }
+        }
+        return adapters;
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -22,11 +22,11 @@
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
 
     private final QuotaFlow quota;
-    private final PlacementFlow placement;
+    private final AdapterFlow adapters;
 
-    DispatchFlow(QuotaFlow quota, PlacementFlow placement) {
+    DispatchFlow(QuotaFlow quota, AdapterFlow adapters) {
         this.quota = quota;
-        this.placement = placement;
+        this.adapters = adapters;
     }
 
     FleetState countDemand(FleetState state, FleetRequest request, long nowMillis) {
@@ -205,7 +205,7 @@
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
         FleetState next = state.with(request.in(new FleetPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
         if (LeadershipFlow.holds(state, nowMillis)) {
-            return placement.onWish(next, nowMillis, wish, effects);
+            return adapters.onWish(next, nowMillis, wish, effects);
         }
         LeadershipFlow.holder(state, nowMillis)
                 .ifPresent(holder -> effects.add(
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
@@ -0,0 +1,53 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.log.OrderAction;
+
+/** Engines as the holder of the placement duty sees and orders them. */
+final class Engines {
+    private Engines() {}
+
+    static FleetState order(
+            FleetState state,
+            FleetTarget target,
+            OrderAction action,
+            String model,
+            Optional<String> adapter,
+            List<FleetEffect> effects) {
+        EngineDuty duty = duty(state, target);
+        EngineOrder order = new EngineOrder(
+                target.description().id(),
+                target.description().address(),
+                action,
+                model,
+                adapter,
+                duty.orderCount().orElseThrow(),
+                state.leadership().fencingToken().orElseThrow());
+        effects.add(new FleetEffect.SendOrder(order));
+        return state.with(state.placement().with(target.description().id(), duty.ordered(order)));
+    }
+
+    static void broadcast(FleetState state, FleetTarget target, List<FleetEffect> effects) {
+        FleetMessage message = PeerFlow.residency(state, target);
+        for (FleetPeer peer : state.peers().values()) {
+            effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), message));
+        }
+    }
+
+    static List<FleetTarget> all(FleetState state, String service) {
+        return state.targets().values().stream()
+                .filter(target -> target.description().service().equals(service))
+                .filter(target ->
+                        !target.description().leaving() && target.goneAtMillis().isEmpty())
+                .toList();
+    }
+
+    static EngineDuty duty(FleetState state, FleetTarget target) {
+        EngineDuty known = state.placement().engines().get(target.description().id());
+        long startedAt = target.description().startedAtMillis();
+        return known == null || known.startedAtMillis() != startedAt ? EngineDuty.unknown(startedAt) : known;
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -87,7 +87,9 @@
     }
 
     private static long waitMillis(FleetState state, Feed feed) {
-        if (!FleetTimings.isMesh(state.memberCount()) && !HubFlow.isHub(state)) {
+        boolean afterFailure = state.feed(feed).failures() > 0;
+        boolean hasHub = !FleetTimings.isMesh(state.memberCount()) && !HubFlow.isHub(state);
+        if (afterFailure || hasHub) {
             return 0;
         }
         return switch (feed) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -15,8 +15,9 @@
     private final LeadershipFlow leadership = new LeadershipFlow();
     private final PeerFlow peers = new PeerFlow(leadership);
     private final HubFlow hubs = new HubFlow(feeds, leadership);
-    private final PlacementFlow placement = new PlacementFlow();
-    private final DispatchFlow dispatch = new DispatchFlow(quota, placement);
+    private final AdapterFlow adapters = new AdapterFlow();
+    private final PlacementFlow placement = new PlacementFlow(adapters);
+    private final DispatchFlow dispatch = new DispatchFlow(quota, adapters);
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
     private final AttemptFlow attempts = new AttemptFlow(dispatch);
     private final StopFlow stop = new StopFlow(peers);
@@ -83,13 +84,13 @@
     private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
         return switch (message) {
             case FleetMessage.Digest digest ->
-                placement.noteUse(
+                adapters.noteUse(
                         hubs.onDigest(peers.onDigest(state, nowMillis, digest, effects), digest, nowMillis),
                         nowMillis,
                         digest.work());
             case FleetMessage.GroupDigest digest -> hubs.onGroupDigest(state, digest, nowMillis, effects);
             case FleetMessage.Bulletin bulletin ->
-                placement.noteUse(hubs.onBulletin(state, bulletin, nowMillis, effects), nowMillis, bulletin.work());
+                adapters.noteUse(hubs.onBulletin(state, bulletin, nowMillis, effects), nowMillis, bulletin.work());
             case FleetMessage.FeedNews news ->
                 dispatch.tick(hubs.onFeedNews(state, news, nowMillis, effects), nowMillis, effects);
             case FleetMessage.ConfigurationEnd end -> hubs.onConfigurationEnd(state, end);
@@ -97,7 +98,7 @@
             case FleetMessage.QuotaQuestion question -> quota.onQuestion(state, nowMillis, question, effects);
             case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
-            case FleetMessage.PlacementWish wish -> placement.onWish(state, nowMillis, wish, effects);
+            case FleetMessage.PlacementWish wish -> adapters.onWish(state, nowMillis, wish, effects);
             case FleetMessage.Residency residency ->
                 dispatch.tick(peers.onResidency(state, residency, nowMillis), nowMillis, effects);
         };
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FeedFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FeedFlowTest.java
@@ -46,6 +46,18 @@
                         Feed.CONFIGURATION, OptionalLong.empty(), FleetTimings.CONFIGURATION_WAIT));
     }
 
+    @Test
+    void firstReadAfterAnOutageIsNotHeldBackByTheStore() {
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.CONFIGURATION, false));
+
+        fixture.advance(500);
+
+        assertThat(fixture.all(FleetEffect.ReadFeed.class))
+                .filteredOn(read -> read.feed() == Feed.CONFIGURATION)
+                .singleElement()
+                .matches(read -> read.waitMillis() == 0);
+    }
+
     @Test
     void removedTargetGetsNothingNew() {
         fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.TargetRemoved("e1"));
