--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedState.java
@@ -45,7 +45,13 @@
     FeedState failed(long nowMillis, boolean historyGone, long againAtMillis) {
         OptionalLong next = historyGone ? OptionalLong.empty() : nextOffset;
         return new FeedState(
-                next, false, askedAtMillis, freshAtMillis, OptionalLong.of(nowMillis), failures + (historyGone ? 0 : 1), againAtMillis);
+                next,
+                false,
+                askedAtMillis,
+                freshAtMillis,
+                OptionalLong.of(nowMillis),
+                failures + (historyGone ? 0 : 1),
+                againAtMillis);
     }
 
     /** Returns the feed after news that somebody else has read. */
