--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -17,8 +17,8 @@
 import org.pcollections.PMap;
 
 /**
- * Loads adapters that are asked for, while this entry holds the placement duty. The places that adapters take on an engine
- * are counted apart from the adapters that requests can use already.
+ * Loads adapters that are asked for, while this entry holds the placement duty. The places that adapters take on an
+ * engine are counted apart from the adapters that requests can use already.
  */
 final class AdapterFlow {
     private static final long ADAPTER_WISH_MILLIS = 1_500; // a wish that is still needed is repeated sooner
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -85,8 +85,8 @@
     }
 
     /**
-     * Returns whether the queue at the best engine is longer than the objective. A longer queue makes everybody late and
-     * serves nobody more; the caller is better off coming back.
+     * Returns whether the queue at the best engine is longer than the objective. A longer queue makes everybody late
+     * and serves nobody more; the caller is better off coming back.
      */
     private static boolean isQueueTooLong(FleetRequest request, TargetChooser.Choice choice) {
         return choice.estimateMillis() > request.route().objectiveMillis();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -22,8 +22,8 @@
 
 /**
  * Passes news in a large fleet. Each entry reports to the hub of its zone, which is the host with the strongest link;
- * hubs tell each other and then their entries. Only hubs follow the store's feeds. Whoever is reported to acts as a hub,
- * so that entries that disagree on the hub for a while still hear everything.
+ * hubs tell each other and then their entries. Only hubs follow the store's feeds. Whoever is reported to acts as
+ * a hub, so that entries that disagree on the hub for a while still hear everything.
  */
 final class HubFlow {
     private static final int HEARTBEATS_MISSED = 3;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -13,7 +13,7 @@
 
 /**
  * Plans which engine loads or drops which model. Each replica has a value: the waiting time per second that callers
- * would have more without it. A model gains a replica where that saves clearly more than what the displaced one is worth.
+ * would have more without it. A model gains a replica where that saves clearly more than the displaced one is worth.
  */
 final class ReplicaPlanner {
     private static final double TOKENS_READ_PER_SECOND = 20_000; // prefill rate of an engine that also decodes
