--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -162,8 +162,9 @@
     }
 
     private static String route(String name, String kind, boolean resumable, String service) {
-        return """
+        String route = """
                 {"name":"%s","host":"%s","pathPrefix":"/%s/","kind":"%s","timeoutMs":5000,"aimMs":600,"priority":1,
-                 "maxAttempts":2,"public":false,"resumable":%s,"service":"%s"}""".formatted(name, HOST, name, kind, resumable, service);
+                 "maxAttempts":2,"public":false,"resumable":%s,"service":"%s"}""";
+        return route.formatted(name, HOST, name, kind, resumable, service);
     }
 }
