--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -105,6 +105,24 @@
         assertThat(order().action()).isEqualTo(OrderAction.UNLOAD_ADAPTER);
     }
 
+    @Test
+    void placeOfAnAdapterThatIsStillInUseIsFreeOnlyAfterAReport() {
+        loadAdapter("a1");
+        loadAdapter("a2");
+        fixture.state = fixture.state.withRequests(
+                fixture.state.requests().minusAll(fixture.state.requests().keySet()));
+        fixture.advanceInContact(500);
+        fixture.renewDuty();
+        adapterRequest("a3");
+
+        answer(order(), OrderResponse.ACCEPTED);
+        assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
+        fixture.report("e1", 6, Set.of("m1"), Map.of("m1", Set.of("a2")));
+        fixture.apply(new FleetEvent.Woken(fixture.nowMillis));
+
+        assertThat(order().action()).isEqualTo(OrderAction.LOAD_ADAPTER);
+    }
+
     @Test
     void adapterStaysCountedWhenARequestWasRejectedForIt() {
         loadAdapter("a1");
