Read of the change: one loop that tells all peers, one look-up of workspaces, a branch that could not be taken

Engines.broadcast calls PeerFlow.sendToAll; FleetConfiguration.workspace serves the three places that looked a workspace up; PlacementFlow.onReport compared counts that its guard has compared already.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.EngineOrder;
-import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.log.OrderAction;
 
 /** Engines as the holder of the placement duty sees and orders them. */
@@ -31,10 +30,7 @@
     }
 
     static void broadcast(FleetState state, FleetTarget target, List<FleetEffect> effects) {
-        FleetMessage message = PeerFlow.residency(state, target);
-        for (FleetPeer peer : state.peers().values()) {
-            effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), message));
-        }
+        PeerFlow.sendToAll(state, PeerFlow.residency(state, target), effects);
     }
 
     static List<FleetTarget> all(FleetState state, String service) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -53,7 +53,7 @@
         return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work));
     }
 
-    private static void sendToAll(FleetState state, FleetMessage message, List<FleetEffect> effects) {
+    static void sendToAll(FleetState state, FleetMessage message, List<FleetEffect> effects) {
         for (FleetPeer peer : state.peers().values()) {
             effects.add(new FleetEffect.SendPeerMessage(peer.member().peerAddress(), message));
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -66,10 +66,7 @@
                 : duty.changing().or(() -> report.busy() ? Optional.of(EngineDuty.UNKNOWN_MODEL) : Optional.empty());
         long reportAt = changing.isPresent() ? event.nowMillis() + REPORT_MILLIS : Long.MAX_VALUE;
         EngineDuty known = duty.reported(report, changing, reportAt);
-        boolean ordersSince = duty.orderCount().isPresent()
-                && report.orderCount() < duty.orderCount().getAsLong();
-        EngineDuty corrected =
-                ordersSince ? known : known.withAdapters(AdapterFlow.reported(report, duty, event.nowMillis()));
+        EngineDuty corrected = known.withAdapters(AdapterFlow.reported(report, duty, event.nowMillis()));
         Set<String> unloading = settled ? Set.of() : target.unloading();
         FleetTarget described = target.withResidency(
                 report.models(), AdapterFlow.usable(corrected, event.nowMillis()), unloading, event.nowMillis());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -47,8 +47,7 @@
     FleetState onQuestion(
             FleetState state, long nowMillis, FleetMessage.QuotaQuestion question, List<FleetEffect> effects) {
         FleetPeer asker = state.peers().get(question.sender());
-        Optional<Workspace> workspace = state.configuration()
-                .flatMap(known -> Optional.ofNullable(known.workspaces().get(question.workspace())));
+        Optional<Workspace> workspace = state.configuration().flatMap(known -> known.workspace(question.workspace()));
         if (asker == null || workspace.isEmpty()) {
             return state;
         }
@@ -68,9 +67,8 @@
 
     /** Gives back the units of a request that did not run. */
     FleetState giveBack(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
-        Optional<Workspace> workspace = request.workspace()
-                .flatMap(name ->
-                        state.configuration().map(known -> known.workspaces().get(name)));
+        Optional<Workspace> workspace =
+                request.workspace().flatMap(name -> state.configuration().flatMap(known -> known.workspace(name)));
         if (workspace.isEmpty() || !workspace.get().limited()) {
             return state;
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -152,9 +152,8 @@
 
     private FleetState askAgain(
             FleetState state, FleetRequest request, int round, long nowMillis, List<FleetEffect> effects) {
-        Optional<Workspace> workspace = request.workspace()
-                .flatMap(name ->
-                        state.configuration().map(known -> known.workspaces().get(name)));
+        Optional<Workspace> workspace =
+                request.workspace().flatMap(name -> state.configuration().flatMap(known -> known.workspace(name)));
         if (workspace.isEmpty() || round >= FleetTimings.QUOTA_ROUNDS) {
             Refusal refusal = Refusal.notRun(RefusalCode.NO_CAPACITY, NOT_READY_RETRY_MILLIS);
             return dispatch.refuse(state, request, refusal, "no entry counts the workspace", effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetConfiguration.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetConfiguration.java
@@ -60,6 +60,11 @@
                 .findFirst();
     }
 
+    /** Returns a workspace by its name. */
+    public Optional<Workspace> workspace(String name) {
+        return Optional.ofNullable(workspaces.get(name));
+    }
+
     /** Returns the definition of a service. */
     public Optional<ServiceDefinition> service(String name) {
         return Optional.ofNullable(services.get(name));
