Soak real entries under faults from outside

Change: module jackdawbeam-soak. A plan from a seed disturbs processes (kill, stop, pause, reload), the store, peer links and targets through a loopback proxy; callers keep open connections; promises are judged from what callers and targets saw (once at most, true refusals, own and whole answers, withdrawn keys, no older configuration, rate, leaving targets, fencing tokens, planned stops, recovery). Stand-ins restart, leave and are listed under a proxy's address. Tests of entries take free ports by trying them: fixed ports by process id met those of a soak beside them.

--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/CallerConnection.java
@@ -0,0 +1,138 @@
+package org.jackdawbeam.soak;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** A caller's connection, which is kept open for as long as the entry keeps it. Not thread-safe. */
+final class CallerConnection implements AutoCloseable {
+    private static final int CONNECT_MILLIS = 1_000; // callers allow a second
+    private static final int ANSWER_MILLIS = 7_000; // the routes' time-out of 5 s, and time to see that it was missed
+    private static final int HEXADECIMAL = 16;
+
+    private final InetSocketAddress address;
+    private Socket socket;
+    private InputStream input;
+    private int answers;
+
+    CallerConnection(int port) {
+        this.address = new InetSocketAddress("127.0.0.1", port);
+    }
+
+    /** Returns whether the next request goes over a connection that was used before. */
+    boolean isUsed() {
+        return socket != null && answers > 0;
+    }
+
+    Outcome send(String request) {
+        if (!connect()) {
+            return new Outcome.Unreachable();
+        }
+        boolean headSeen = false;
+        try {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            int status = Integer.parseInt(line().split(" ")[1]);
+            headSeen = true;
+            Map<String, String> headers = headers();
+            String body = body(headers);
+            answers++;
+            if ("close".equalsIgnoreCase(headers.get("connection"))) {
+                close();
+            }
+            return new Outcome.Answered(status, headers, body);
+        } catch (SocketTimeoutException e) {
+            close();
+            return new Outcome.GivenUp();
+        } catch (IOException e) {
+            close();
+            return new Outcome.Broken(headSeen);
+        }
+    }
+
+    private boolean connect() {
+        if (socket != null) {
+            return true;
+        }
+        Socket opened = new Socket();
+        try {
+            opened.connect(address, CONNECT_MILLIS);
+            opened.setSoTimeout(ANSWER_MILLIS);
+            opened.setTcpNoDelay(true);
+            input = new BufferedInputStream(opened.getInputStream());
+            socket = opened;
+            answers = 0;
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private Map<String, String> headers() throws IOException {
+        Map<String, String> headers = new HashMap<>();
+        for (String line = line(); !line.isEmpty(); line = line()) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        return headers;
+    }
+
+    private String body(Map<String, String> headers) throws IOException {
+        if (!headers.getOrDefault("transfer-encoding", "").equalsIgnoreCase("chunked")) {
+            return text(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        }
+        StringBuilder body = new StringBuilder();
+        for (int size = chunkSize(); size > 0; size = chunkSize()) {
+            body.append(text(size));
+            line();
+        }
+        headers();
+        return body.toString();
+    }
+
+    private int chunkSize() throws IOException {
+        return Integer.parseInt(line().trim(), HEXADECIMAL);
+    }
+
+    private String text(int length) throws IOException {
+        byte[] bytes = input.readNBytes(length);
+        if (bytes.length < length) {
+            throw new EOFException("the answer is cut off");
+        }
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private String line() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int read = input.read(); read != '\n'; read = input.read()) {
+            if (read < 0) {
+                throw new EOFException("the answer is cut off");
+            }
+            line.append((char) read);
+        }
+        return line.toString().stripTrailing();
+    }
+
+    @Override
+    public void close() {
+        if (socket == null) {
+            return;
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("a socket cannot be closed", e);
+        } finally {
+            socket = null;
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
@@ -0,0 +1,136 @@
+package org.jackdawbeam.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** An entry as a separate process. Only its own process, by its id, is ever signalled. */
+final class EntryProcess implements AutoCloseable {
+    private static final String MAIN = "org.jackdawbeam.platform.Main";
+
+    private final String name;
+    private final Path folder;
+    private final int firstPort;
+    private final List<Process> runs = new ArrayList<>();
+
+    EntryProcess(String name, Path folder, int firstPort) {
+        this.name = name;
+        this.folder = folder;
+        this.firstPort = firstPort;
+    }
+
+    String name() {
+        return name;
+    }
+
+    int peerPort() {
+        return firstPort;
+    }
+
+    int directoryPort() {
+        return firstPort + 2;
+    }
+
+    int callerPort() {
+        return firstPort + 4;
+    }
+
+    /** Returns how often the entry has been started. */
+    synchronized int incarnation() {
+        return runs.size();
+    }
+
+    synchronized boolean isRunning() {
+        return !runs.isEmpty() && runs.getLast().isAlive();
+    }
+
+    /** Returns the exit code of the last run; empty while it runs. */
+    synchronized Optional<Integer> exitCode() {
+        return runs.isEmpty() || runs.getLast().isAlive()
+                ? Optional.empty()
+                : Optional.of(runs.getLast().exitValue());
+    }
+
+    void writeSettings(String settings) {
+        try {
+            Files.writeString(settingsFile(), settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    synchronized void start() {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        List<String> command = List.of(
+                java,
+                "-Xmx160m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "--enable-native-access=ALL-UNNAMED",
+                "-cp",
+                System.getProperty("java.class.path"),
+                MAIN,
+                "--metrics-port",
+                "0",
+                "--settings",
+                settingsFile().toString());
+        try {
+            Path log = folder.resolve(name + ".log");
+            runs.add(new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    synchronized void kill() {
+        runs.getLast().destroyForcibly();
+    }
+
+    /** Sends a signal by its name, such as TERM. */
+    synchronized void signal(String signal) {
+        if (!isRunning()) {
+            return;
+        }
+        try {
+            new ProcessBuilder(
+                            "kill", "-" + signal, Long.toString(runs.getLast().pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits for the end of the current run; returns whether it came in time. */
+    boolean awaitExit(long millis) {
+        Process last;
+        synchronized (this) {
+            last = runs.getLast();
+        }
+        try {
+            return last.waitFor(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        runs.forEach(Process::destroyForcibly);
+    }
+
+    private Path settingsFile() {
+        return folder.resolve(name + ".toml");
+    }
+}
--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/Fault.java
@@ -0,0 +1,10 @@
+package org.jackdawbeam.soak;
+
+/**
+ * One disturbance of a soak.
+ *
+ * @param atMillis when it begins, from the start of the callers
+ * @param number picks the entry or target; taken modulo their count
+ * @param forMillis how long it lasts
+ */
+public record Fault(long atMillis, FaultKind kind, int number, long forMillis) {}
--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultProxy.java
@@ -0,0 +1,186 @@
+package org.jackdawbeam.soak;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Passes connections on to an address on this host, and delays, holds, refuses or resets them on demand. Held bytes
+ * stay in order and arrive after the hold, as they do when a network comes back.
+ */
+public final class FaultProxy implements AutoCloseable {
+    private static final long POLL_MILLIS = 20;
+
+    private final EventLoopGroup group;
+    private final Supplier<InetSocketAddress> destination;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Channel server;
+    private volatile long delayMillis;
+    private volatile boolean holdsRequests;
+    private volatile boolean holdsAnswers;
+    private volatile boolean refuses;
+
+    /** Listens on a free port; the destination is asked for with each connection. */
+    public FaultProxy(EventLoopGroup group, Supplier<InetSocketAddress> destination) {
+        this.group = group;
+        this.destination = destination;
+        this.server = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel caller) {
+                        accept(caller);
+                    }
+                })
+                .bind("127.0.0.1", 0)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Returns where the proxy listens. */
+    public String address() {
+        return "127.0.0.1:" + port();
+    }
+
+    /** Returns the port that the proxy listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Delays the bytes of both directions; zero ends it. */
+    public void delay(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Keeps the bytes of a direction on the way until it is called again. */
+    public void hold(boolean requests, boolean answers) {
+        holdsRequests = requests;
+        holdsAnswers = answers;
+    }
+
+    /** Closes all new connections at once. */
+    public void refuse(boolean on) {
+        refuses = on;
+        if (on) {
+            reset();
+        }
+    }
+
+    /** Resets all connections. */
+    public void reset() {
+        channels.forEach(FaultProxy::resetOne);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        channels.close();
+    }
+
+    private static void resetOne(Channel channel) {
+        channel.eventLoop().execute(() -> {
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            }
+        });
+    }
+
+    private void accept(Channel caller) {
+        if (refuses) {
+            resetOne(caller);
+            return;
+        }
+        channels.add(caller);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(caller.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new Side(caller, false));
+        bootstrap.connect(destination.get()).addListener((ChannelFutureListener) connected -> {
+            if (!connected.isSuccess()) {
+                resetOne(caller);
+                return;
+            }
+            channels.add(connected.channel());
+            caller.pipeline().addLast(new Side(connected.channel(), true));
+            caller.read();
+        });
+    }
+
+    /** One side of a connection: what it reads goes to the other side. */
+    private final class Side extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+        private final boolean fromCaller;
+
+        Side(Channel other, boolean fromCaller) {
+            this.other = other;
+            this.fromCaller = fromCaller;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            context.read();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (delayMillis > 0) {
+                context.executor().schedule(() -> pass(context, message), delayMillis, TimeUnit.MILLISECONDS);
+            } else {
+                pass(context, message);
+            }
+        }
+
+        /** The next bytes are read after these have been written, so that they cannot overtake them. */
+        private void pass(ChannelHandlerContext context, Object message) {
+            boolean held = fromCaller ? holdsRequests : holdsAnswers;
+            if (held && other.isActive()) {
+                context.executor().schedule(() -> pass(context, message), POLL_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            if (!other.isActive()) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            other.writeAndFlush((ByteBuf) message).addListener(written -> {
+                if (written.isSuccess()) {
+                    context.read();
+                }
+            });
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (fromCaller ? holdsRequests : holdsAnswers) {
+                context.executor().schedule(() -> channelInactive(context), POLL_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            other.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            resetOne(context.channel());
+            resetOne(other);
+        }
+    }
+}
--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/RequestKind.java
@@ -0,0 +1,47 @@
+package org.jackdawbeam.soak;
+
+import org.jackdawbeam.standin.fleet.FleetSite;
+
+/** The kinds of requests that callers of a soak send. */
+enum RequestKind {
+    CHAT("/chat/1", "small", FleetSite.KEY, true, true),
+    ADAPTER_CHAT("/chat/2", "large/a1", FleetSite.KEY, true, true),
+    LETTER("/letter/3", "small", FleetSite.KEY, true, false),
+    PAYMENT("/pay/4", "", FleetSite.KEY, false, true),
+    READ("/read/5", "", FleetSite.KEY, false, false),
+    SMALL_WORKSPACE_READ("/read/6", "", FleetSite.SMALL_KEY, false, false);
+
+    private final String path;
+    private final String model;
+    private final String key;
+    private final boolean streaming;
+    private final boolean onceAtMost;
+
+    RequestKind(String path, String model, String key, boolean streaming, boolean onceAtMost) {
+        this.path = path;
+        this.model = model;
+        this.key = key;
+        this.streaming = streaming;
+        this.onceAtMost = onceAtMost;
+    }
+
+    String key() {
+        return key;
+    }
+
+    boolean streaming() {
+        return streaming;
+    }
+
+    boolean onceAtMost() {
+        return onceAtMost;
+    }
+
+    /** Returns the bytes of a request. */
+    String text(String requestId, String apiKey) {
+        String modelHeaders = model.isEmpty() ? "" : "Model: " + model + "\r\nToken-Count: 100,20\r\n";
+        return "POST " + path + " HTTP/1.1\r\nHost: " + FleetSite.HOST + "\r\nRequest-Id: " + requestId
+                + "\r\nDeadline-Ms: 5000\r\nApi-Key: " + apiKey + "\r\n" + modelHeaders
+                + "Content-Length: 4\r\n\r\nbody";
+    }
+}
--- /dev/null
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/SoakRun.java
@@ -0,0 +1,134 @@
+package org.jackdawbeam.soak;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGeneratorFactory;
+
+/** One soak: entries as processes, callers that keep calling, disturbances from a seed, and judged promises. */
+public final class SoakRun {
+    private static final int CALLERS_PER_ENTRY = 5;
+    private static final long START_MILLIS = 30_000; // all processes of a run share the cores of the machine
+    private static final long RECOVERY_MILLIS = 12_000; // the deployments' bound on recovery
+    private static final long POLL_MILLIS = 100;
+    private final long seed;
+    private final long lengthMillis;
+    private final int entryCount;
+    private final Path folder;
+
+    /**
+     * What a run has shown.
+     *
+     * @param outcomes requests by how they ended
+     * @param broken promises that were broken; empty if none was
+     */
+    public record Report(long seed, int faults, Map<String, Integer> outcomes, List<String> broken) {}
+
+    /** Describes a run; settings and logs of the entries go to the folder. */
+    public SoakRun(long seed, long lengthMillis, int entryCount, Path folder) {
+        this.seed = seed;
+        this.lengthMillis = lengthMillis;
+        this.entryCount = entryCount;
+        this.folder = folder;
+    }
+
+    /** Performs the run. */
+    public Report perform() throws InterruptedException {
+        List<Fault> plan = FaultPlan.draw(seed, lengthMillis);
+        Calm calm = new Calm();
+        try (SoakSite site = new SoakSite(entryCount, folder);
+                ScheduledExecutorService timer = Executors.newScheduledThreadPool(2)) {
+            Promises promises = new Promises(calm, site.fleet().ledger());
+            FaultInjector injector = new FaultInjector(site, calm, promises, timer);
+            site.entries().forEach(EntryProcess::start);
+            awaitService(site, promises, START_MILLIS, "start");
+            calm.disturb(Promises.STORE, System.currentTimeMillis(), System.currentTimeMillis() + POLL_MILLIS);
+            List<Caller> callers = callers(site, promises);
+            List<Thread> threads =
+                    callers.stream().map(Thread.ofVirtual()::start).toList();
+            long startedAt = System.currentTimeMillis();
+            for (Fault fault : plan) {
+                waitUntil(startedAt + fault.atMillis(), site, injector, promises);
+                injector.begin(fault);
+            }
+            waitUntil(startedAt + lengthMillis, site, injector, promises);
+            injector.heal();
+            awaitService(site, promises, START_MILLIS + RECOVERY_MILLIS, "recovery");
+            callers.forEach(Caller::stop);
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            timer.shutdownNow();
+            promises.judgeAll();
+            return new Report(seed, plan.size(), outcomes(promises), promises.broken());
+        }
+    }
+
+    private List<Caller> callers(SoakSite site, Promises promises) {
+        List<Caller> callers = new ArrayList<>();
+        for (EntryProcess entry : site.entries()) {
+            for (int number = 0; number < CALLERS_PER_ENTRY; number++) {
+                Caller caller = new Caller(
+                        entry,
+                        promises,
+                        site::keys,
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(seed * 1_000 + callers.size()));
+                callers.add(caller);
+            }
+        }
+        return callers;
+    }
+
+    /** Waits, and meanwhile looks for processes that have ended by themselves. */
+    private static void waitUntil(long atMillis, SoakSite site, FaultInjector injector, Promises promises)
+            throws InterruptedException {
+        do {
+            for (int number = 0; number < site.entries().size(); number++) {
+                EntryProcess entry = site.entries().get(number);
+                if (!injector.isBeingStopped(number) && !entry.isRunning()) {
+                    promises.violated("keeps_running", entry.name() + " has ended with " + entry.exitCode());
+                    entry.start();
+                }
+            }
+            Thread.sleep(Math.clamp(atMillis - System.currentTimeMillis(), 0, POLL_MILLIS));
+        } while (System.currentTimeMillis() < atMillis);
+    }
+
+    /** Waits until each entry serves each kind of request. */
+    private static void awaitService(SoakSite site, Promises promises, long millis, String when)
+            throws InterruptedException {
+        long until = System.currentTimeMillis() + millis;
+        for (EntryProcess entry : site.entries()) {
+            for (RequestKind kind : RequestKind.values()) {
+                while (!serves(entry, kind)) {
+                    if (System.currentTimeMillis() > until) {
+                        promises.violated(when, entry.name() + " does not serve " + kind);
+                        return;
+                    }
+                    Thread.sleep(POLL_MILLIS);
+                }
+            }
+        }
+    }
+
+    private static boolean serves(EntryProcess entry, RequestKind kind) {
+        try (CallerConnection connection = new CallerConnection(entry.callerPort())) {
+            Outcome outcome = connection.send(kind.text(Promises.PROBE + UUID.randomUUID(), kind.key()));
+            return outcome instanceof Outcome.Answered answered && answered.status() == 200;
+        }
+    }
+
+    private static Map<String, Integer> outcomes(Promises promises) {
+        Map<String, Integer> outcomes = new TreeMap<>();
+        for (Call call : promises.calls()) {
+            String name = call.outcome().getClass().getSimpleName();
+            outcomes.merge(call.status() == 0 ? name : Integer.toString(call.status()), 1, Integer::sum);
+        }
+        return outcomes;
+    }
+}
--- /dev/null
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/PortBlock.java
@@ -0,0 +1,41 @@
+package org.jackdawbeam.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Finds consecutive free ports for processes whose settings name their ports in advance. */
+public final class PortBlock {
+    private static final int LOWEST = 20_000;
+    private static final int HIGHEST = 32_000; // the system gives out ports from 32,768 on by itself
+    private static final int TRIALS = 200;
+
+    private PortBlock() {}
+
+    /**
+     * Returns the first of a number of consecutive ports that are free on the loopback address.
+     *
+     * @throws IllegalStateException if none are found
+     */
+    public static int find(int count) {
+        for (int trial = 0; trial < TRIALS; trial++) {
+            int first = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST - count);
+            if (areFree(first, count)) {
+                return first;
+            }
+        }
+        throw new IllegalStateException("no " + count + " consecutive free ports");
+    }
+
+    private static boolean areFree(int first, int count) {
+        for (int port = first; port < first + count; port++) {
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                socket.setReuseAddress(true);
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -2,11 +2,13 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jackdawbeam.net.http.HttpExchange;
 import org.jackdawbeam.standin.StandInServer;
 
@@ -14,16 +16,24 @@
 public final class FleetSite implements AutoCloseable {
     /** Host name of all routes. */
     public static final String HOST = "127.0.0.1";
-    /** Key of the only workspace. */
+    /** Key of the workspace that stays far within its rate. */
     public static final String KEY = "quickstart-key";
+    /** Key of the workspace with a low rate. */
+    public static final String SMALL_KEY = "small-key";
+    /** Units a second, and burst, of the workspace with a low rate. */
+    public static final int SMALL_UNITS = 2_000;
 
+    private static final String SERVERS_TOPIC = "keyed.servers";
+    private static final byte[] NO_VALUE = new byte[0];
     private static final String LOOPBACK = "127.0.0.1";
     private static final long LIST_MILLIS = 250;
+    private static final long EXPIRY_MILLIS = 3 * LIST_MILLIS; // the store drops an entry after three intervals
     private static final int THREADS = 2;
 
-    private final List<StandInServer> servers = new ArrayList<>();
-    private final List<TargetStandIn> targets = new ArrayList<>();
-    private final Set<Integer> crashed = ConcurrentHashMap.newKeySet();
+    private final List<StandInServer> servers = new CopyOnWriteArrayList<>();
+    private final List<TargetStandIn> targets = new CopyOnWriteArrayList<>();
+    private final Map<Integer, Long> crashedAtMillis = new ConcurrentHashMap<>();
+    private final Map<Integer, String> advertised = new ConcurrentHashMap<>();
     private final TargetLedger ledger = new TargetLedger();
     private final LogStoreStandIn store;
     private final StandInServer storeServer;
@@ -38,7 +48,7 @@
         addTarget("engine-3", "engines", Set.of("large"), true);
         addTarget("service-1", "payments", Set.of(), false);
         addTarget("service-2", "payments", Set.of(), false);
-        configure(1, KEY);
+        configure(1, Set.of(KEY));
         storeServer.group().scheduleAtFixedRate(this::list, 0, LIST_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -75,19 +85,50 @@
         return List.copyOf(targets);
     }
 
+    /** Returns where a target listens. */
+    public String address(int number) {
+        return LOOPBACK + ":" + servers.get(number).port();
+    }
+
+    /** Lists a target under another address than its own, such as that of a proxy. */
+    public void advertise(int number, String address) {
+        advertised.put(number, address);
+    }
+
     /** Stops a target without a word. */
     public void crash(int number) {
-        crashed.add(number);
-        servers.get(number).close();
+        if (crashedAtMillis.putIfAbsent(number, System.currentTimeMillis()) == null) {
+            servers.get(number).close();
+        }
     }
 
-    /** Puts a configuration in force in which only the given key is valid; an empty key withdraws all. */
-    public void configure(long version, String key) {
-        store.put("keyed.op", "config", configuration(version, key).getBytes(StandardCharsets.UTF_8));
+    /** Starts a target again as a new one that holds the given models. */
+    public void restart(int number, Set<String> models) {
+        crash(number);
+        TargetStandIn before = targets.get(number);
+        store.put(SERVERS_TOPIC, before.id(), NO_VALUE);
+        TargetStandIn target = before.restarted(models);
+        servers.set(number, new StandInServer(new InetSocketAddress(LOOPBACK, 0), THREADS, target));
+        targets.set(number, target);
+        crashedAtMillis.remove(number);
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param keys the valid keys of the workspace that stays within its rate
+     */
+    public void configure(long version, Set<String> keys) {
+        store.put("keyed.op", "config", configuration(version, keys).getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns the settings of an entry with ports from the given one on. */
     public String settings(String name, int port) {
+        return settings(name, port, LOOPBACK + ":" + storePort());
+    }
+
+    /** Returns the settings of an entry that reaches the store at the given address. */
+    public String settings(String name, int port, String storeAddress) {
         return """
                 nodeName = "%s"
                 ip = "127.0.0.1"
@@ -110,14 +151,14 @@
                 ceilingWindowS = 5
                 ttl_max_s = 5
                 [platform]
-                address = "127.0.0.1:%d"
-                """.formatted(name, port, port + 1, port + 2, port + 3, port + 4, storePort());
+                address = "%s"
+                """.formatted(name, port, port + 1, port + 2, port + 3, port + 4, storeAddress);
     }
 
     @Override
     public void close() {
         for (int number = 0; number < servers.size(); number++) {
-            if (!crashed.contains(number)) {
+            if (!crashedAtMillis.containsKey(number)) {
                 servers.get(number).close();
             }
         }
@@ -132,16 +173,18 @@
 
     private void list() {
         for (int number = 0; number < targets.size(); number++) {
-            String address = LOOPBACK + ":" + servers.get(number).port();
             TargetStandIn target = targets.get(number);
-            if (crashed.contains(number)) {
-                continue;
+            Long goneSince = crashedAtMillis.get(number);
+            if (goneSince == null) {
+                String address = advertised.getOrDefault(number, address(number));
+                store.put(SERVERS_TOPIC, target.id(), target.entry(address));
+            } else if (System.currentTimeMillis() - goneSince > EXPIRY_MILLIS) {
+                store.put(SERVERS_TOPIC, target.id(), NO_VALUE);
             }
-            store.put("keyed.servers", target.id(), target.entry(address));
         }
     }
 
-    private static String configuration(long version, String key) {
+    private static String configuration(long version, Set<String> keys) {
         return """
                 {"version":%d,"routes":[%s,%s,%s,%s],
                  "services":[{"name":"engines","healthPath":"/health","maxConns":300,"engine":{"slots":64,
@@ -151,14 +194,21 @@
                    {"name":"rare","weightsMb":70000.0,"loadTimeS":0.3,"adapters":0,"adapterMb":60.0}]}},
                   {"name":"payments","healthPath":"/health","maxConns":100}],
                  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-                 "tenants":[{"name":"household","apiKeys":[%s],"unit":"token_rate","plainTokens":200,
-                   "ratePerS":100000,"burst":100000}]}""".formatted(
+                 "tenants":[%s,%s]}""".formatted(
                         version,
                         route("chat", "streaming", false, "engines"),
                         route("letter", "streaming", true, "engines"),
                         route("pay", "unsafe", false, "payments"),
                         route("read", "safe", false, "payments"),
-                        key.isEmpty() ? "" : "\"" + key + "\"");
+                        workspace("household", keys, 100_000),
+                        workspace("small", Set.of(SMALL_KEY), SMALL_UNITS));
+    }
+
+    private static String workspace(String name, Set<String> keys, int units) {
+        String quoted = keys.stream().map(key -> '"' + key + '"').collect(Collectors.joining(","));
+        String workspace = """
+                {"name":"%s","apiKeys":[%s],"unit":"token_rate","plainTokens":200,"ratePerS":%d,"burst":%d}""";
+        return workspace.formatted(name, quoted, units, units);
     }
 
     private static String route(String name, String kind, boolean resumable, String service) {
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/LogStoreStandIn.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/LogStoreStandIn.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.jackdawbeam.net.codec.MessageMapper;
 import org.jackdawbeam.net.http.HttpExchange;
 import org.jackdawbeam.net.http.HttpExchangeHandler;
@@ -25,6 +26,7 @@
     private final StoreFaults faults = new StoreFaults();
     private final MessageMapper json = MessageMapper.json();
     private final EventLoopGroup timers;
+    private volatile UnaryOperator<byte[]> rewrite = UnaryOperator.identity();
 
     public LogStoreStandIn(EventLoopGroup timers) {
         this.timers = timers;
@@ -46,6 +48,11 @@
         topics.append(topic, List.of(content), Optional.empty());
     }
 
+    /** Changes the records that entries append from now on, for trials that lead connections elsewhere. */
+    public void rewriteAppends(UnaryOperator<byte[]> change) {
+        rewrite = change;
+    }
+
     /** Deletes the history of a topic; the newest record of each key stays. */
     public void forgetHistory(String topic) {
         topics.forgetHistory(topic);
@@ -79,7 +86,8 @@
     }
 
     private void append(HttpExchange exchange, String topic, Optional<Long> at) {
-        Optional<Long> offset = topics.append(topic, records(exchange.body()), at);
+        Optional<Long> offset = topics.append(
+                topic, records(exchange.body()).stream().map(rewrite).toList(), at);
         if (faults.isLosingAnswers()) {
             exchange.abort();
             return;
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
@@ -1,24 +1,55 @@
 package org.jackdawbeam.standin.fleet;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** What the targets have executed, as the judge of promises. Thread-safe. */
 public final class TargetLedger {
     private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final Map<String, Long> leavingSinceMillis = new ConcurrentHashMap<>();
+    private final Map<Long, String> holders = new ConcurrentHashMap<>();
+    private final ConcurrentLinkedQueue<Execution> history = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<String> sharedTokens = new ConcurrentLinkedQueue<>();
     private final AtomicReference<String> keySeen = new AtomicReference<>("");
 
-    void executed(String requestId) {
+    /**
+     * A request that began to run.
+     *
+     * @param atMillis time of day
+     * @param leavingSinceMillis when the target said that it leaves; zero if it did not
+     */
+    public record Execution(
+            String requestId, String target, String workspace, long atMillis, long leavingSinceMillis) {}
+
+    /** Notes that a request began to run. */
+    public void executed(String requestId, String target, String workspace) {
         executions.computeIfAbsent(requestId, id -> new AtomicInteger()).incrementAndGet();
+        history.add(new Execution(
+                requestId, target, workspace, System.currentTimeMillis(), leavingSinceMillis.getOrDefault(target, 0L)));
     }
 
     void sawKey(String key) {
         keySeen.set(key);
     }
 
+    void leaving(String target) {
+        leavingSinceMillis.putIfAbsent(target, System.currentTimeMillis());
+    }
+
+    /** Notes an accepted order. */
+    public void ordered(String target, long fencingToken, String holder) {
+        String first = holders.putIfAbsent(fencingToken, holder);
+        if (first != null && !first.equals(holder)) {
+            sharedTokens.add("token " + fencingToken + " of " + first + " used by " + holder + " at " + target);
+        }
+    }
+
     /** Returns how often a request was executed. */
     public int executions(String requestId) {
         AtomicInteger count = executions.get(requestId);
@@ -32,6 +63,16 @@
         return copy;
     }
 
+    /** Returns everything that began to run, in order. */
+    public List<Execution> history() {
+        return new ArrayList<>(history);
+    }
+
+    /** Returns fencing tokens that two holders gave orders with. */
+    public List<String> sharedTokens() {
+        return new ArrayList<>(sharedTokens);
+    }
+
     /** Returns a caller's key that a target has seen; empty if none has. */
     public String keySeen() {
         return keySeen.get();
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
@@ -21,7 +21,10 @@
 public final class TargetStandIn implements HttpExchangeHandler {
     private static final long LOAD_MILLIS = 300;
     private static final long EVENT_MILLIS = 15;
-    private static final int EVENTS = 6;
+    /** Events of a whole stream. */
+    public static final int EVENTS = 6;
+
+    private static final long SERVICE_MILLIS = 10;
     private static final Map<String, String> NO_HEADERS = Map.of();
 
     private final String id;
@@ -56,6 +59,11 @@
         models.forEach(model -> adaptersByModel.put(model, new HashSet<>()));
     }
 
+    /** Returns the next start of this target: another name, the given models, no memory of orders. */
+    TargetStandIn restarted(Set<String> models) {
+        return new TargetStandIn(id + "x", service, zone, models, engine, ledger, timers);
+    }
+
     /** Returns the name of this start. */
     public String id() {
         return id;
@@ -64,6 +72,7 @@
     /** Says from now on that it is leaving. */
     public synchronized void drain() {
         draining = true;
+        ledger.leaving(id);
     }
 
     /** Returns what the target says of itself in the store. */
@@ -122,6 +131,7 @@
         } else {
             highestToken = token;
             orderCount++;
+            ledger.ordered(id, token, (String) order.get("holder"));
             carryOut(exchange, order.get("operation").equals("loading"), (String) order.get("model"), (String)
                     order.get("adapter"));
         }
@@ -159,7 +169,7 @@
             return;
         }
         String requestId = request.get("Request-Id", "");
-        ledger.executed(requestId);
+        ledger.executed(requestId, id, request.get("Tenant", ""));
         HttpHeaders answer = new DefaultHttpHeaders();
         answer.set("Request-Id", requestId);
         answer.set("Server-Seal", id + "." + requestId);
@@ -167,10 +177,7 @@
         if (!engine) {
             byte[] body = ("done " + requestId).getBytes(StandardCharsets.UTF_8);
             answer.set("content-length", body.length);
-            exchange.startAnswer(200, answer);
-            exchange.write(Unpooled.wrappedBuffer(body));
-            exchange.endStream();
-            loadAfter(-1);
+            timers.schedule(() -> answer(exchange, answer, body), SERVICE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         answer.set("content-type", "text/event-stream");
@@ -179,6 +186,13 @@
         sendEvent(exchange, from + 1);
     }
 
+    private void answer(HttpExchange exchange, HttpHeaders headers, byte[] body) {
+        exchange.startAnswer(200, headers);
+        exchange.write(Unpooled.wrappedBuffer(body));
+        exchange.endStream();
+        loadAfter(-1);
+    }
+
     private void sendEvent(HttpExchange exchange, int number) {
         String event = "id: " + number + "\ndata: token " + number + "\n\n";
         exchange.write(Unpooled.copiedBuffer(event, StandardCharsets.UTF_8));
