Hubs pass on only target entries that say something new

Change: an entry that differs from what the hub knew in nothing but the number of orders is passed on in one read of each 3 s only, so that entries still come to believe the list; the offsets always go, so that gaps are still found.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -40,7 +40,7 @@
                 long from = state.feed(read.feed()).nextOffset().orElse(0);
                 FleetState next = feeds.onRead(state, read, effects);
                 next = read.feed() == Feed.CONFIGURATION ? next.with(next.hub().behind(false)) : next;
-                hubs.passOn(next, read, from, effects);
+                next = hubs.passOn(state, next, read, from, effects);
                 yield dispatch.tick(feeds.tick(next, read.nowMillis(), effects), read.nowMillis(), effects);
             }
             case FleetEvent.FeedFailed failed -> feeds.onFailed(state, failed, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.FleetMessage.Bulletin;
@@ -29,6 +30,7 @@
 final class HubFlow {
     private static final int HEARTBEATS_MISSED = 3;
     private static final long WHOLE_BULLETIN_MILLIS = 3_000; // what a lost message may leave out for that long
+    private static final long ALL_TARGETS_MILLIS = 3_000; // entries that were told of a change believe the list then
     private static final int HUBS_TO_TRY = 2; // members of a zone whose hub is not known, in turn
 
     private final FeedFlow feeds;
@@ -100,28 +102,59 @@
                 : state.with(state.hub().behind(true));
     }
 
-    /** Passes on what this entry has read, if it is a hub. */
-    void passOn(FleetState state, FleetEvent.FeedRead read, long fromOffset, List<FleetEffect> effects) {
-        if (FleetTimings.isMesh(state.memberCount()) || !isHub(state)) {
-            return;
+    /**
+     * Passes on what this entry has read, if it is a hub. Targets write their entries anew all the time; those that say
+     * what was known before are passed on now and then only.
+     *
+     * @param before the state without what was read
+     * @param after the state with it
+     */
+    FleetState passOn(
+            FleetState before, FleetState after, FleetEvent.FeedRead read, long fromOffset, List<FleetEffect> effects) {
+        if (FleetTimings.isMesh(after.memberCount()) || !isHub(after)) {
+            return after;
         }
+        if (read.feed() == Feed.CONFIGURATION) {
+            confirmConfiguration(after, read, effects);
+            return after;
+        }
+        if (read.newest() || read.entries().isEmpty()) {
+            return after;
+        }
+        boolean everything = read.feed() == Feed.MEMBERS
+                || read.nowMillis() - after.hub().published().allTargetsAtMillis() >= ALL_TARGETS_MILLIS;
+        List<FeedEntry> entries = everything
+                ? read.entries()
+                : read.entries().stream().filter(entry -> isNews(before, entry)).toList();
+        sendToGroup(
+                after,
+                new FleetMessage.FeedNews(after.self().id(), read.feed(), fromOffset, entries, read.nextOffset()),
+                effects);
+        boolean allTargets = everything && read.feed() == Feed.TARGETS;
+        return allTargets
+                ? after.with(after.hub().publishing(after.hub().published().withAllTargetsAt(read.nowMillis())))
+                : after;
+    }
+
+    private static void confirmConfiguration(FleetState state, FleetEvent.FeedRead read, List<FleetEffect> effects) {
         for (HubState.Heard<Digest> member : state.hub().group().values()) {
-            String address = member.message().member().peerAddress();
-            boolean before = member.atMillis() <= read.askedAtMillis();
-            if (read.feed() == Feed.CONFIGURATION && before) {
+            if (member.atMillis() <= read.askedAtMillis()) {
                 FleetMessage end = new FleetMessage.ConfigurationEnd(
                         state.self().id(), member.message().stampMillis(), read.nextOffset());
-                effects.add(new FleetEffect.SendPeerMessage(address, end));
+                effects.add(new FleetEffect.SendPeerMessage(
+                        member.message().member().peerAddress(), end));
             }
         }
-        boolean news = read.feed() != Feed.CONFIGURATION
-                && !read.newest()
-                && !read.entries().isEmpty();
-        if (news) {
-            FleetMessage message = new FleetMessage.FeedNews(
-                    state.self().id(), read.feed(), fromOffset, read.entries(), read.nextOffset());
-            sendToGroup(state, message, effects);
+    }
+
+    private static boolean isNews(FleetState before, FeedEntry entry) {
+        if (!(entry instanceof FeedEntry.Target target)) {
+            return true;
         }
+        FleetTarget known = before.targets().get(target.description().id());
+        return known == null
+                || known.goneAtMillis().isPresent()
+                || !known.description().saysTheSameAs(target.description());
     }
 
     /** Returns whether this entry has to ask the store for a feed itself. */
@@ -211,7 +244,11 @@
         Set<String> receivers = Set.copyOf(state.hub().group().keySet());
         boolean whole = !before.receivers().containsAll(receivers)
                 || nowMillis - before.wholeAtMillis() >= WHOLE_BULLETIN_MILLIS;
-        return new HubState.Published(Map.copyOf(statuses), receivers, whole ? nowMillis : before.wholeAtMillis());
+        return new HubState.Published(
+                Map.copyOf(statuses),
+                receivers,
+                whole ? nowMillis : before.wholeAtMillis(),
+                before.allTargetsAtMillis());
     }
 
     /** Returns the hubs to tell: those that were heard, and the likely ones of zones that were not. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
@@ -45,10 +45,16 @@
      * @param statuses members as they were told
      * @param receivers who was told
      * @param wholeAtMillis when all members were told at once
+     * @param allTargetsAtMillis when all of a read of the target list was passed on
      */
-    record Published(Map<String, MemberStatus> statuses, Set<String> receivers, long wholeAtMillis) {
+    record Published(
+            Map<String, MemberStatus> statuses, Set<String> receivers, long wholeAtMillis, long allTargetsAtMillis) {
         static Published nothing() {
-            return new Published(Map.of(), Set.of(), 0);
+            return new Published(Map.of(), Set.of(), 0, 0);
+        }
+
+        Published withAllTargetsAt(long nowMillis) {
+            return new Published(statuses, receivers, wholeAtMillis, nowMillis);
         }
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
@@ -31,4 +31,11 @@
         return new TargetDescription(
                 id, service, address, zone, slots, leaving, held, atHand, startedAtMillis, orderCount);
     }
+
+    /** Returns whether the other description differs at most in the number of orders. */
+    public boolean saysTheSameAs(TargetDescription other) {
+        TargetDescription counted = new TargetDescription(
+                id, service, address, zone, slots, leaving, models, atHand, startedAtMillis, other.orderCount);
+        return counted.equals(other);
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -10,6 +10,7 @@
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.jackdawbeam.model.fleet.TargetDescription;
 import org.junit.jupiter.api.Test;
 
 class HubFlowTest {
@@ -144,4 +145,42 @@
                 .allMatch(start -> start.target().id().equals("e22"));
         assertThat(sentElsewhere).isTrue();
     }
+
+    private List<FeedEntry> passedOn() {
+        return fixture.all(FleetEffect.SendPeerMessage.class).stream()
+                .filter(sent -> sent.address().equals("m3:1"))
+                .map(FleetEffect.SendPeerMessage::message)
+                .filter(FleetMessage.FeedNews.class::isInstance)
+                .map(message -> ((FleetMessage.FeedNews) message).entries())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static TargetDescription counting(String id, long orderCount) {
+        return new TargetDescription(
+                id, "engines", "10.0.0.1:1", "zone-1", 64, false, Set.of("m1"), Set.of(), 7, orderCount);
+    }
+
+    @Test
+    void hubPassesOnTargetsThatSaySomethingNew() {
+        fixture.hear(new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.list(counting("e1", 1), counting("e2", 1));
+        FeedEntry leaving = new FeedEntry.Target(
+                new TargetDescription("e2", "engines", "10.0.0.1:1", "zone-1", 64, true, Set.of("m1"), Set.of(), 7, 1));
+
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.Target(counting("e1", 2)), leaving);
+
+        assertThat(passedOn()).containsExactly(leaving);
+    }
+
+    @Test
+    void hubPassesOnAllTargetsNowAndThen() {
+        fixture.hear(new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.list(counting("e1", 1));
+        fixture.nowMillis += 3_000;
+
+        fixture.read(Feed.TARGETS, fixture.nowMillis, new FeedEntry.Target(counting("e1", 2)));
+
+        assertThat(passedOn()).hasSize(1);
+    }
 }
