Name what a bulletin tells anew; say when the list goes before what the holder told

Cause: read as a newcomer would, the comparison inside the publication of a bulletin hid its purpose. Change: a method of its own, and a sentence at the time limit. No change of behaviour; fleet tests pass.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -38,7 +38,10 @@
         long residencyAtMillis,
         OptionalLong goneAtMillis) {
     private static final long NEVER = -1_000_000_000;
-    /** Entries of the list that were written before a change are read at most about this much later. */
+    /**
+     * Entries of the list that were written before a change are read at most about this much later. What the list says
+     * after that goes before what the holder of the placement duty told, a removal that did not happen included.
+     */
     private static final long RESIDENCY_TRUST_MILLIS = 3_000;
 
     private static final double FAILURE_WEIGHT = 0.15; // about the last seven attempts count
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -217,12 +217,7 @@
         HubState.Published told = published(state, statuses, nowMillis);
         List<MemberStatus> changed = told.wholeAtMillis() == nowMillis
                 ? List.copyOf(statuses.values())
-                : statuses.values().stream()
-                        .filter(status -> !status.equals(state.hub()
-                                .published()
-                                .statuses()
-                                .get(status.member().id())))
-                        .toList();
+                : changedSince(state.hub().published(), statuses);
         Bulletin whole = bulletin(state, statuses.keySet(), changed, all);
         List<TargetWork> work = whole.work().stream()
                 .map(item -> new TargetWork(item.target(), item.running(), item.unreadTokens(), Set.of()))
@@ -238,6 +233,13 @@
         return reportsToItself ? learn(next.with(next.hub().heard(nowMillis)), whole, nowMillis, effects) : next;
     }
 
+    private static List<MemberStatus> changedSince(HubState.Published before, Map<String, MemberStatus> statuses) {
+        return statuses.values().stream()
+                .filter(status ->
+                        !status.equals(before.statuses().get(status.member().id())))
+                .toList();
+    }
+
     /** Returns what is told by now: changes, and everything to newcomers and where a message may have been lost. */
     private static HubState.Published published(FleetState state, Map<String, MemberStatus> statuses, long nowMillis) {
         HubState.Published before = state.hub().published();
