Test connections that fall silent for good on the users' platform

Cause: time limits for silent connections to peers, targets and the store had tests on the project's own interface only. Change: SilentConnectionTest runs two entries as processes behind proxies that hold the bytes of peers, of both services and of the store.

--- /dev/null
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/SilentConnectionTest.java
@@ -0,0 +1,98 @@
+package org.jackdawbeam.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Open connections that carry nothing any more, in both directions, and are never closed. */
+@Timeout(value = 90, unit = TimeUnit.SECONDS)
+class SilentConnectionTest {
+    private static final long START_MILLIS = 30_000;
+    private static final long CONTACT_MILLIS = 4_000; // after this, rules bind again on the larger deployments
+    private static final long ROUTE_MILLIS = 5_500; // the routes' time-out, and half a second
+    private static final long WITHDRAWAL_MILLIS = 5_000;
+    private static final int FIRST_SERVICE = 3;
+    private static final int SECOND_SERVICE = 4;
+
+    @TempDir
+    private Path folder;
+
+    private SoakSite site;
+    private int nextRequest;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        site = new SoakSite(2, folder);
+        site.entries().forEach(EntryProcess::start);
+        await(START_MILLIS, () -> serves(0) && serves(1));
+    }
+
+    @AfterEach
+    void stop() {
+        site.close();
+    }
+
+    private static void await(long millis, BooleanSupplier condition) throws InterruptedException {
+        long until = System.currentTimeMillis() + millis;
+        while (!condition.getAsBoolean()) {
+            assertThat(System.currentTimeMillis()).as("time").isLessThan(until);
+            Thread.sleep(50);
+        }
+    }
+
+    private Outcome pay(int entry) {
+        RequestKind kind = RequestKind.PAYMENT;
+        try (CallerConnection connection =
+                new CallerConnection(site.entries().get(entry).callerPort())) {
+            return connection.send(kind.text("silent-" + nextRequest++, kind.key()));
+        }
+    }
+
+    private boolean serves(int entry) {
+        return pay(entry) instanceof Outcome.Answered answered && answered.status() == 200;
+    }
+
+    @Test
+    void entriesServeWhileTheirPeersAreSilent() throws InterruptedException {
+        site.peerProxy(0).hold(true, true);
+        site.peerProxy(1).hold(true, true);
+
+        await(CONTACT_MILLIS, () -> serves(0) && serves(1));
+        for (int number = 0; number < 10; number++) {
+            assertThat(serves(number % 2)).isTrue();
+        }
+    }
+
+    @Test
+    void paymentAtASilentTargetIsAnsweredByTheTimeOfItsRoute() {
+        site.targetProxy(FIRST_SERVICE).hold(true, true);
+        site.targetProxy(SECOND_SERVICE).hold(true, true);
+        long sentAt = System.currentTimeMillis();
+
+        Outcome outcome = pay(0);
+
+        assertThat(outcome).isInstanceOf(Outcome.Answered.class);
+        assertThat(System.currentTimeMillis() - sentAt).isLessThanOrEqualTo(ROUTE_MILLIS);
+    }
+
+    @Test
+    void keyedRequestsAreRefusedWhileTheStoreIsSilentAndServedWhenItIsBack() throws InterruptedException {
+        site.storeProxy(0).hold(true, true);
+        Thread.sleep(WITHDRAWAL_MILLIS);
+
+        assertThat(pay(0)).isInstanceOfSatisfying(Outcome.Answered.class, answer -> {
+            assertThat(answer.status()).isEqualTo(503);
+            assertThat(answer.headers()).containsKey("retry-after");
+        });
+        assertThat(serves(1)).isTrue();
+        site.storeProxy(0).hold(false, false);
+        await(CONTACT_MILLIS, () -> serves(0));
+    }
+}
