Process tests take ports that the system does not give out by itself

Ruled out: a slow start (the process had ended). Change: such ports come from PortBlock, below that range, as the entries of the platform's tests do.

--- a/jackdawbeam-daemon/src/test/java/org/jackdawbeam/cli/Deployment.java
+++ b/jackdawbeam-daemon/src/test/java/org/jackdawbeam/cli/Deployment.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -22,6 +21,7 @@
 import org.jackdawbeam.net.caller.KeyReader;
 import org.jackdawbeam.net.codec.MessageMapper;
 import org.jackdawbeam.net.operator.AdministrationEdge.SignedBundle;
+import org.jackdawbeam.standin.PortBlock;
 
 /** A small deployment in separate processes on loopback: platform, engines, services, entries. */
 final class Deployment implements AutoCloseable {
@@ -316,12 +316,9 @@
         }
     }
 
+    /** Ports that the system gives out by itself could be taken by a connection before the process listens. */
     private static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+        return "127.0.0.1:" + PortBlock.find(1);
     }
 
     private static String prompt(String model, int tokens, boolean streamed) {
