--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/PortBlock.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/PortBlock.java
@@ -3,13 +3,18 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.IntStream;
 
 /** Finds consecutive free ports for processes whose settings name their ports in advance. */
 public final class PortBlock {
     private static final int LOWEST = 20_000;
     private static final int HIGHEST = 32_000; // the system gives out ports from 32,768 on by itself
     private static final int TRIALS = 200;
+    /** Ports that were given out may not be listened on yet. */
+    private static final Set<Integer> GIVEN = new HashSet<>();
 
     private PortBlock() {}
 
@@ -18,10 +23,11 @@
      *
      * @throws IllegalStateException if none are found
      */
-    public static int find(int count) {
+    public static synchronized int find(int count) {
         for (int trial = 0; trial < TRIALS; trial++) {
             int first = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST - count);
             if (areFree(first, count)) {
+                IntStream.range(first, first + count).forEach(GIVEN::add);
                 return first;
             }
         }
@@ -30,6 +36,9 @@
 
     private static boolean areFree(int first, int count) {
         for (int port = first; port < first + count; port++) {
+            if (GIVEN.contains(port)) {
+                return false;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 socket.setReuseAddress(true);
             } catch (IOException e) {
