The soak uses what the project has: topic names, addresses, one way to end a process

Cause: on reading the whole change again, the soak spelled two topics of the store that FleetSite knows, parsed addresses as TargetAddress does, and waited for an exit or killed in two places. Change: FleetSite.forgetHistory, TargetAddress.parse, EntryProcess.awaitExitOrKill. No change of behaviour.

--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
@@ -131,6 +131,16 @@
         }
     }
 
+    /** Waits for the end of the current run, and kills it if it does not come in time; returns its own exit code. */
+    Optional<Integer> awaitExitOrKill(long millis) {
+        Optional<Integer> exitCode = awaitExit(millis);
+        if (exitCode.isEmpty()) {
+            kill();
+            awaitExit(millis);
+        }
+        return exitCode;
+    }
+
     @Override
     public synchronized void close() {
         closed = true;
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultInjector.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultInjector.java
@@ -86,10 +86,7 @@
                     delay(site.storeProxy(number), Promises.STORE, fault.forMillis());
                 }
             }
-            case FORGET_HISTORY -> {
-                site.fleet().store().forgetHistory("keyed.op");
-                site.fleet().store().forgetHistory("keyed.servers");
-            }
+            case FORGET_HISTORY -> site.fleet().forgetHistory();
             default -> throw new IllegalArgumentException(fault.toString());
         }
     }
@@ -141,10 +138,8 @@
         store().silence(false);
         store().loseAnswers(false);
         for (int number = 0; number < site.entries().size(); number++) {
-            FaultProxy[] proxies = {site.storeProxy(number), site.peerProxy(number)};
-            for (FaultProxy proxy : proxies) {
-                calmDown(proxy);
-            }
+            calmDown(site.storeProxy(number));
+            calmDown(site.peerProxy(number));
             site.writeSettings(number, true);
             site.entries().get(number).signal("CONT");
         }
@@ -155,10 +150,8 @@
         }
         for (int number = 0; number < site.entries().size(); number++) {
             EntryProcess entry = site.entries().get(number);
-            boolean stopping = openStops.getOrDefault(number, 0) > 0 && entry.isRunning();
-            if (stopping && entry.awaitExit(GRACE_MILLIS).isEmpty()) {
-                entry.kill();
-                entry.awaitExit(GRACE_MILLIS);
+            if (openStops.getOrDefault(number, 0) > 0 && entry.isRunning()) {
+                entry.awaitExitOrKill(GRACE_MILLIS);
             }
             if (!entry.isRunning()) {
                 entry.start();
@@ -193,15 +186,11 @@
         long askedAt = System.currentTimeMillis();
         process.signal("TERM");
         Thread.ofVirtual().start(() -> {
-            Optional<Integer> exitCode = process.awaitExit(GRACE_MILLIS);
+            Optional<Integer> exitCode = process.awaitExitOrKill(GRACE_MILLIS);
             boolean judged = calm.isCalm(Set.of(name(entry)), askedAt - SETTLE_MILLIS, System.currentTimeMillis());
             if (judged && !exitCode.equals(Optional.of(0))) {
                 promises.violated("planned_stop", name(entry) + " exit_code_in_time=" + exitCode);
             }
-            if (exitCode.isEmpty()) {
-                process.kill();
-                process.awaitExit(GRACE_MILLIS);
-            }
             disturb(name(entry), START_MILLIS);
             restart(entry);
         });
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/SoakSite.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/SoakSite.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jackdawbeam.net.target.TargetAddress;
 import org.jackdawbeam.standin.PortBlock;
 import org.jackdawbeam.standin.fleet.FleetSite;
 
@@ -37,7 +38,7 @@
         int firstPort = PortBlock.find(entryCount * PORTS_PER_ENTRY);
         for (int number = 0; number < MODELS.size(); number++) {
             int target = number;
-            FaultProxy proxy = new FaultProxy(group, () -> address(fleet.address(target)));
+            FaultProxy proxy = new FaultProxy(group, () -> TargetAddress.parse(fleet.address(target)));
             targetProxies.add(proxy);
             fleet.advertise(number, proxy.address());
         }
@@ -114,11 +115,6 @@
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
     @Override
     public void close() {
         entries.forEach(EntryProcess::close);
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -23,6 +23,7 @@
     /** Units a second, and burst, of the workspace with a low rate. */
     public static final int SMALL_UNITS = 2_000;
 
+    private static final String OPERATOR_TOPIC = "keyed.op";
     private static final String SERVERS_TOPIC = "keyed.servers";
     private static final byte[] NO_VALUE = new byte[0];
     private static final String LOOPBACK = "127.0.0.1";
@@ -70,6 +71,12 @@
         return store;
     }
 
+    /** Deletes the history of what the operator and the targets have written; the newest records stay. */
+    public void forgetHistory() {
+        store.forgetHistory(OPERATOR_TOPIC);
+        store.forgetHistory(SERVERS_TOPIC);
+    }
+
     /** Returns the port of the store. */
     public int storePort() {
         return storeServer.port();
@@ -119,7 +126,7 @@
      * @param keys the valid keys of the workspace that stays within its rate
      */
     public void configure(long version, Set<String> keys) {
-        store.put("keyed.op", "config", configuration(version, keys).getBytes(StandardCharsets.UTF_8));
+        store.put(OPERATOR_TOPIC, "config", configuration(version, keys).getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns the settings of an entry with ports from the given one on. */
