FleetState changes one component through a draft, as EntryState does

Cause: each of its sixteen with-methods repeated all sixteen components (250 runs of identical lines); a new component had to be added in eighteen places, and two of the same type could be swapped unnoticed. Ruled out: the same for FleetTarget, FleetRequest, EngineDuty and HubState, which have few such methods: they became as long or longer. A draft changed by lambdas: shorter, but each lambda is linked once at each start, and starts are priced. Change: the project's own pattern; 388 lines become 237. No change of behaviour: fleet and architecture tests pass.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -66,83 +66,27 @@
     }
 
     FleetState with(FleetBounds changed) {
-        return new FleetState(
-                self,
-                changed,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.bounds = changed;
+        return draft.build();
     }
 
     FleetState with(Feed feed, FeedState changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds.plus(feed, changed),
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.feeds = feeds.plus(feed, changed);
+        return draft.build();
     }
 
     FleetState with(FleetConfiguration changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                Optional.of(changed),
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.configuration = Optional.of(changed);
+        return draft.build();
     }
 
     FleetState withTargets(PMap<String, FleetTarget> changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                changed,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.targets = changed;
+        return draft.build();
     }
 
     FleetState with(FleetTarget target) {
@@ -150,43 +94,15 @@
     }
 
     FleetState withPeers(PMap<String, FleetPeer> changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                changed,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.peers = changed;
+        return draft.build();
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                changed,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.requests = changed;
+        return draft.build();
     }
 
     FleetState with(FleetRequest request) {
@@ -198,183 +114,57 @@
     }
 
     FleetState with(String workspace, QuotaBucket bucket) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets.plus(workspace, bucket),
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.buckets = buckets.plus(workspace, bucket);
+        return draft.build();
     }
 
     FleetState with(String service, RetryAllowance allowance) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries.plus(service, allowance),
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.retries = retries.plus(service, allowance);
+        return draft.build();
     }
 
     FleetState with(Leadership changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                changed,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.leadership = changed;
+        return draft.build();
     }
 
     FleetState with(PlacementState changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                changed,
-                demand,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.placement = changed;
+        return draft.build();
     }
 
     FleetState with(Demand changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                changed,
-                announcement,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.demand = changed;
+        return draft.build();
     }
 
     FleetState with(Announcement changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                changed,
-                stop,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.announcement = changed;
+        return draft.build();
     }
 
     FleetState with(StopStage changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                changed,
-                sent,
-                hub);
+        Draft draft = new Draft(this);
+        draft.stop = changed;
+        return draft.build();
     }
 
     FleetState with(SentWork changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                changed,
-                hub);
+        Draft draft = new Draft(this);
+        draft.sent = changed;
+        return draft.build();
     }
 
     FleetState with(HubState changed) {
-        return new FleetState(
-                self,
-                bounds,
-                feeds,
-                configuration,
-                targets,
-                peers,
-                requests,
-                buckets,
-                retries,
-                leadership,
-                placement,
-                demand,
-                announcement,
-                stop,
-                sent,
-                changed);
+        Draft draft = new Draft(this);
+        draft.hub = changed;
+        return draft.build();
     }
 
     FeedState feed(Feed feed) {
@@ -385,4 +175,63 @@
     int memberCount() {
         return peers.size() + 1;
     }
+
+    /** Mutable copy from which the next state is made. */
+    private static final class Draft {
+        private final FleetMember self;
+        private FleetBounds bounds;
+        private PMap<Feed, FeedState> feeds;
+        private Optional<FleetConfiguration> configuration;
+        private PMap<String, FleetTarget> targets;
+        private PMap<String, FleetPeer> peers;
+        private PMap<Long, FleetRequest> requests;
+        private PMap<String, QuotaBucket> buckets;
+        private PMap<String, RetryAllowance> retries;
+        private Leadership leadership;
+        private PlacementState placement;
+        private Demand demand;
+        private Announcement announcement;
+        private StopStage stop;
+        private SentWork sent;
+        private HubState hub;
+
+        Draft(FleetState source) {
+            self = source.self;
+            bounds = source.bounds;
+            feeds = source.feeds;
+            configuration = source.configuration;
+            targets = source.targets;
+            peers = source.peers;
+            requests = source.requests;
+            buckets = source.buckets;
+            retries = source.retries;
+            leadership = source.leadership;
+            placement = source.placement;
+            demand = source.demand;
+            announcement = source.announcement;
+            stop = source.stop;
+            sent = source.sent;
+            hub = source.hub;
+        }
+
+        FleetState build() {
+            return new FleetState(
+                    self,
+                    bounds,
+                    feeds,
+                    configuration,
+                    targets,
+                    peers,
+                    requests,
+                    buckets,
+                    retries,
+                    leadership,
+                    placement,
+                    demand,
+                    announcement,
+                    stop,
+                    sent,
+                    hub);
+        }
+    }
 }
