A planned stop gives every open request an end, and a wait is logged with its reason

Cause: StopFlow.exit broke the connection of every open request. Change: requests that still wait when the entry drains are refused truly, with when to come back; calls without an answer at the end are answered as unknown; only answers that have begun are broken. Where the time to stop is short, half of it is left for draining: with 2 s the process never exited by itself. A request that begins to wait leaves one line.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -204,6 +204,9 @@
         FleetMessage.PlacementWish wish = new FleetMessage.PlacementWish(
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
         FleetState next = state.with(request.in(new FleetPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
+        if (!waitsAlready) {
+            noteWait(request, usable, nowMillis, effects);
+        }
         if (LeadershipFlow.holds(state, nowMillis)) {
             return adapters.onWish(next, nowMillis, wish, effects);
         }
@@ -213,6 +216,30 @@
         return next;
     }
 
+    private static void noteWait(
+            FleetRequest request, List<FleetTarget> usable, long nowMillis, List<FleetEffect> effects) {
+        String model = request.call().model().orElseThrow();
+        long holders = usable.stream()
+                .filter(target -> target.holds(model, Optional.empty()))
+                .count();
+        effects.add(FleetEffect.Note.of(
+                "request_waiting",
+                "request",
+                request.call().callerRequestId(),
+                "request_number",
+                request.id(),
+                "model",
+                model,
+                "adapter",
+                request.call().adapter().orElse("-"),
+                "reason",
+                holders == 0 ? "no engine holds the model" : "no engine holds the adapter",
+                "engines_with_model",
+                holders,
+                "left_ms",
+                request.expiresAtMillis() - nowMillis));
+    }
+
     /** Returns the engine that should hold the adapter: one with the model, always the same as far as it can serve. */
     private static Optional<String> homeOf(
             FleetState state, FleetRequest request, List<FleetTarget> usable, long nowMillis) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -20,7 +20,7 @@
     private final DispatchFlow dispatch = new DispatchFlow(quota, adapters);
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
     private final AttemptFlow attempts = new AttemptFlow(dispatch);
-    private final StopFlow stop = new StopFlow(peers);
+    private final StopFlow stop = new StopFlow(peers, dispatch);
 
     /** Returns what the event changes and what is to be done. */
     public Reduction apply(FleetState state, FleetEvent event) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -167,6 +167,14 @@
         long againAt = nowMillis + retryAfterMillis;
         long latest = request.arrivedAtMillis() + request.route().objectiveMillis() / UNITS_PART_OF_OBJECTIVE;
         if (againAt <= latest) {
+            effects.add(FleetEffect.Note.of(
+                    "request_waiting",
+                    "request",
+                    request.call().callerRequestId(),
+                    "request_number",
+                    request.id(),
+                    "reason",
+                    "workspace over its rate for " + retryAfterMillis + " ms"));
             return state.with(request.in(new FleetPhase.AwaitingUnits(againAt)));
         }
         long retryAfter = Math.min(MAXIMUM_RETRY_MILLIS, retryAfterMillis);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
@@ -1,16 +1,25 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.List;
+import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.refusal.RefusalCode;
 
-/** Ends the process as planned: out of the directory first, then out of the fleet, and only then out of service. */
+/**
+ * Ends the process as planned: out of the directory first, then out of the fleet, and only then out of service. Every
+ * open request gets an end: one that still waits when the entry drains is refused, because another entry can serve it
+ * sooner; one without an answer when the process ends is answered as unknown.
+ */
 final class StopFlow {
     private static final long LEAVING_MILLIS = 3_000; // callers have asked the directory again by then
+    private static final long LEAVING_PARTS = 2; // where time is short, half of it is left for draining
     private static final long END_MARGIN_MILLIS = 400; // time to close connections before the process is killed
 
     private final PeerFlow peers;
+    private final DispatchFlow dispatch;
 
-    StopFlow(PeerFlow peers) {
+    StopFlow(PeerFlow peers, DispatchFlow dispatch) {
         this.peers = peers;
+        this.dispatch = dispatch;
     }
 
     FleetState onRequest(FleetState state, long nowMillis, List<FleetEffect> effects) {
@@ -26,29 +35,65 @@
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         return switch (state.stop()) {
             case StopStage.Leaving leaving
-            when nowMillis - leaving.sinceMillis() >= LEAVING_MILLIS -> {
+            when nowMillis - leaving.sinceMillis() >= leavingMillis(state) -> {
                 effects.add(new FleetEffect.StopListening());
                 effects.add(new FleetEffect.Withdraw(state.self().id()));
-                yield state.with(new StopStage.Draining(leaving.sinceMillis()));
+                yield refuseWaiting(state.with(new StopStage.Draining(leaving.sinceMillis())), nowMillis, effects);
             }
             case StopStage.Draining draining -> {
                 long age = nowMillis - draining.sinceMillis();
                 boolean over = age >= state.bounds().graceMillis() - END_MARGIN_MILLIS;
-                boolean idle = state.requests().isEmpty() && age >= LEAVING_MILLIS + END_MARGIN_MILLIS;
-                yield over || idle ? exit(state, effects) : state;
+                boolean idle = state.requests().isEmpty() && age >= leavingMillis(state) + END_MARGIN_MILLIS;
+                yield over || idle ? exit(state, nowMillis, effects) : refuseWaiting(state, nowMillis, effects);
             }
             default -> state;
         };
     }
 
-    private static FleetState exit(FleetState state, List<FleetEffect> effects) {
+    private static long leavingMillis(FleetState state) {
+        return Math.min(LEAVING_MILLIS, state.bounds().graceMillis() / LEAVING_PARTS);
+    }
+
+    private FleetState refuseWaiting(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
         for (FleetRequest request : state.requests().values()) {
-            String caller = request.call().callerRequestId();
-            effects.add(new FleetEffect.BreakAnswer(request.id(), caller, "the process ends"));
+            if (!(request.phase() instanceof FleetPhase.Running)) {
+                next = dispatch.refuseUnserved(
+                        next, request, RefusalCode.NOT_READY, "waited when the entry drained", nowMillis, effects);
+            }
         }
-        effects.add(FleetEffect.Note.of(
-                "stopped", "broken_requests", state.requests().size()));
+        return next;
+    }
+
+    private FleetState exit(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = refuseWaiting(state, nowMillis, effects);
+        int broken = 0;
+        for (FleetRequest request : next.requests().values()) {
+            if (request.phase() instanceof FleetPhase.Running running) {
+                next = end(next, request, running, effects);
+                broken += running.answered() ? 1 : 0;
+            }
+        }
+        effects.add(
+                FleetEffect.Note.of("stopped", "open_requests", state.requests().size(), "broken_answers", broken));
         effects.add(new FleetEffect.Exit());
-        return state.with(new StopStage.Stopped());
+        return next.with(new StopStage.Stopped());
+    }
+
+    private FleetState end(
+            FleetState state, FleetRequest request, FleetPhase.Running running, List<FleetEffect> effects) {
+        String caller = request.call().callerRequestId();
+        FleetState released = DispatchFlow.withoutOutstanding(state, running);
+        if (running.answered()) {
+            effects.add(new FleetEffect.BreakAnswer(request.id(), caller, "the process ends"));
+            return released.without(request);
+        }
+        effects.add(new FleetEffect.CancelAttempt(running.attempt()));
+        if (request.callerLeft()) {
+            effects.add(new FleetEffect.ForgetRequest(request.id(), caller));
+            return released.without(request);
+        }
+        String reason = "no answer from " + running.target() + " before the process ends";
+        return dispatch.refuse(released, request, Refusal.unknown(RefusalCode.OUTCOME_UNKNOWN), reason, effects);
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -63,7 +63,9 @@
                         route("chat", RouteKind.STREAMING, false, 1),
                         route("letter", RouteKind.STREAMING, true, 2),
                         route("pay", RouteKind.UNSAFE, false, 1),
-                        route("read", RouteKind.SAFE, false, 2)),
+                        route("read", RouteKind.SAFE, false, 2),
+                        slowRoute("slow", RouteKind.STREAMING, "engines"),
+                        slowRoute("endless", RouteKind.UNSAFE, "payments")),
                 List.of(
                         new ServiceDefinition("engines", 300, Optional.of(engine)),
                         new ServiceDefinition("payments", 100, Optional.empty())),
@@ -87,6 +89,26 @@
                 List.of(new WeightedService(service, 1)));
     }
 
+    /** Returns a route whose requests may take longer than a planned stop. */
+    private static Route slowRoute(String name, RouteKind kind, String service) {
+        return new Route(
+                name,
+                "host",
+                "/" + name + "/",
+                kind,
+                60_000,
+                5_000,
+                1,
+                1,
+                false,
+                false,
+                List.of(new WeightedService(service, 1)));
+    }
+
+    static FleetBounds boundsWithGrace(long graceMillis) {
+        return new FleetBounds(5_000, true, 3_000, graceMillis, 0.2, 56, 10_000, 5_000, 5);
+    }
+
     static TargetDescription engine(String id, String... models) {
         return new TargetDescription(
                 id, "engines", "10.0.0.1:" + id.length(), "zone-1", 64, false, Set.of(models), Set.of(), 7, 0);
@@ -185,7 +207,7 @@
                 "host",
                 "/" + route + "/x",
                 Optional.of(key),
-                4_000,
+                route.equals("slow") || route.equals("endless") ? 60_000 : 4_000,
                 model,
                 adapter,
                 tokens,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.refusal.Ran;
+import org.jackdawbeam.model.refusal.RefusalCode;
+import org.jackdawbeam.model.request.AttemptId;
 import org.junit.jupiter.api.Test;
 
 class StopFlowTest {
@@ -80,4 +82,134 @@
 
         assertThat(fixture.state.stop()).isInstanceOf(StopStage.Stopped.class);
     }
+
+    @Test
+    void requestThatStillWaitsForItsModelWhenTheEntryDrainsIsRefusedTruly() {
+        FleetFixture engines = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        long request = engines.chat("slow", "m2");
+        engines.apply(new FleetEvent.StopRequested(engines.nowMillis));
+
+        FleetEffect.RefuseRequest refused = firstRefusal(engines, LEAVING_MILLIS + 50);
+
+        assertThat(refused.requestId()).isEqualTo(request);
+        assertThat(refused.refusal().ran()).isEqualTo(Ran.NO);
+        assertThat(refused.refusal().code().httpStatus()).isEqualTo(503);
+        assertThat(refused.refusal().retryAfterMillis()).isPresent();
+    }
+
+    @Test
+    void requestThatWaitsForItsModelIsServedWhenTheModelComesWhileTheEntryLeaves() {
+        FleetFixture engines = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        engines.chat("slow", "m2");
+        engines.apply(new FleetEvent.StopRequested(engines.nowMillis));
+        engines.advanceInContact(1_000);
+
+        engines.list(FleetFixture.engine("e1", "m1", "m2"));
+
+        assertThat(engines.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void callThatHasNoAnswerWhenTheProcessEndsIsAnsweredAsUnknown() {
+        long request = fixture.call("endless");
+        AttemptId attempt = fixture.only(FleetEffect.StartAttempt.class).attempt();
+        stop();
+
+        FleetEffect.RefuseRequest refused = firstRefusal(fixture, FleetFixture.BOUNDS.graceMillis());
+
+        assertThat(refused.requestId()).isEqualTo(request);
+        assertThat(refused.refusal().ran()).isEqualTo(Ran.UNKNOWN);
+        assertThat(fixture.all(FleetEffect.CancelAttempt.class))
+                .extracting(FleetEffect.CancelAttempt::attempt)
+                .containsExactly(attempt);
+        assertThat(fixture.all(FleetEffect.BreakAnswer.class)).isEmpty();
+    }
+
+    @Test
+    void answerThatHasBegunWhenTheProcessEndsIsBrokenVisibly() {
+        long request = fixture.call("endless");
+        fixture.answer(fixture.only(FleetEffect.StartAttempt.class).attempt(), 200, false);
+        stop();
+
+        advanceUntilExit(fixture, FleetFixture.BOUNDS.graceMillis());
+
+        assertThat(fixture.only(FleetEffect.BreakAnswer.class).requestId()).isEqualTo(request);
+        assertThat(fixture.all(FleetEffect.RefuseRequest.class)).isEmpty();
+    }
+
+    @Test
+    void callThatRunsAgainElsewhereWhileTheEntryDrainsIsAnswered() {
+        FleetFixture two = FleetFixture.serving(FleetFixture.service("s1"), FleetFixture.service("s22"));
+        two.call("read");
+        AttemptId first = two.only(FleetEffect.StartAttempt.class).attempt();
+        two.apply(new FleetEvent.StopRequested(two.nowMillis));
+        two.advanceInContact(LEAVING_MILLIS + 100);
+
+        two.answer(first, 503, true);
+
+        assertThat(two.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void everyOpenRequestHasAnEndWhenTheProcessEnds() {
+        FleetFixture both = FleetFixture.serving(FleetFixture.service("s1"), FleetFixture.engine("e1", "m1"));
+        both.call("endless");
+        both.chat("slow", "m1");
+        both.chat("slow", "m3");
+        both.apply(new FleetEvent.StopRequested(both.nowMillis));
+
+        advanceUntilExit(both, FleetFixture.BOUNDS.graceMillis());
+
+        assertThat(both.all(FleetEffect.Exit.class)).hasSize(1);
+        assertThat(both.state.requests()).isEmpty();
+    }
+
+    @Test
+    void stopWithLittleTimeEndsBeforeTheProcessIsKilled() {
+        long graceMillis = 2_000;
+        fixture.apply(new FleetEvent.BoundsChanged(fixture.nowMillis, FleetFixture.boundsWithGrace(graceMillis)));
+        fixture.call("endless");
+        stop();
+
+        advanceUntilExit(fixture, graceMillis - 50);
+
+        assertThat(fixture.all(FleetEffect.Exit.class)).hasSize(1);
+        assertThat(fixture.all(FleetEffect.RefuseRequest.class))
+                .extracting(refused -> refused.refusal().code())
+                .containsExactly(RefusalCode.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void beginningOfAWaitIsNotedOnceWithItsReason() {
+        FleetFixture engines = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+
+        engines.chat("slow", "m2");
+
+        assertThat(engines.all(FleetEffect.Note.class))
+                .filteredOn(note -> note.event().equals("request_waiting"))
+                .singleElement()
+                .satisfies(note -> assertThat(note.fields()).contains("m2", "no engine holds the model"));
+        engines.advanceInContact(50);
+        assertThat(engines.all(FleetEffect.Note.class))
+                .noneMatch(note -> note.event().equals("request_waiting"));
+    }
+
+    private static FleetEffect.RefuseRequest firstRefusal(FleetFixture fixture, long withinMillis) {
+        for (long passed = 0; passed < withinMillis; passed += 50) {
+            fixture.advanceInContact(50);
+            if (!fixture.all(FleetEffect.RefuseRequest.class).isEmpty()) {
+                return fixture.only(FleetEffect.RefuseRequest.class);
+            }
+        }
+        throw new AssertionError("nothing was refused within " + withinMillis + " ms");
+    }
+
+    private static void advanceUntilExit(FleetFixture fixture, long withinMillis) {
+        for (long passed = 0; passed < withinMillis; passed += 50) {
+            fixture.advanceInContact(50);
+            if (!fixture.all(FleetEffect.Exit.class).isEmpty()) {
+                return;
+            }
+        }
+    }
 }
