Targets that say they leave get nothing new; those that turn away are left alone for as long as they say

The reducer stops new work and orders at once, tells the others (all in a small fleet, through hubs in a large one) and forgets it with a restart only. A request whose only targets rest is refused with the time that is left, or waits if it can still be on time. FleetTarget changes through a draft, its health is a record of its own. Stand-ins say both.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
@@ -12,6 +12,7 @@
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.OrderResponse;
 import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.request.AttemptFailure;
 import org.jackdawbeam.model.request.AttemptId;
 
@@ -104,7 +105,7 @@
         fleet.later(
                 member,
                 LINK_MILLIS,
-                now -> new FleetEvent.AttemptAnswered(now, attempt, status, notExecuted, Optional.empty()));
+                now -> new FleetEvent.AttemptAnswered(now, attempt, status, notExecuted, TargetStatement.nothing()));
     }
 
     void order(FleetSimulation fleet, SimulatedMember member, EngineOrder order) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -91,7 +91,7 @@
         FleetTarget target = state.targets().get(id);
         FleetState without = state.with(state.placement().without(wish));
         boolean pointless = target == null
-                || target.description().leaving()
+                || target.isLeaving()
                 || !target.holds(wish.model(), Optional.empty())
                 || Engines.duty(state, target).adapters().containsKey(new AdapterKey(wish.model(), adapter))
                 || nowMillis - wishedAtMillis > ADAPTER_WISH_MILLIS;
@@ -99,7 +99,7 @@
             return without;
         }
         EngineDuty duty = Engines.duty(state, target);
-        if (!duty.isIdle()) {
+        if (!duty.isIdle() || target.rests(nowMillis)) {
             return state;
         }
         if (duty.adapters().size() < engine.adapterPlaces()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -20,9 +20,11 @@
     private static final int MISDIRECTED = 421;
 
     private final DispatchFlow dispatch;
+    private final LeavingFlow leaving;
 
-    AttemptFlow(DispatchFlow dispatch) {
+    AttemptFlow(DispatchFlow dispatch, LeavingFlow leaving) {
         this.dispatch = dispatch;
+        this.leaving = leaving;
     }
 
     FleetState onAnswered(FleetState state, FleetEvent.AttemptAnswered event, List<FleetEffect> effects) {
@@ -32,14 +34,21 @@
         }
         FleetRequest request = found.get();
         String id = ((FleetPhase.Running) request.phase()).target();
-        FleetState loaded = withTarget(state, id, target -> target.withLoad(event.load()));
+        FleetState told = event.statement().leaving() ? leaving.onOwnWord(state, id, effects) : state;
+        FleetState loaded = withTarget(told, id, target -> target.stating(event.statement(), event.nowMillis()));
+        event.statement()
+                .restMillis()
+                .ifPresent(millis ->
+                        effects.add(FleetEffect.Note.of("target_turns_away", "target", id, "rest_ms", millis)));
         boolean rejected = event.notExecuted() || event.status() == MISDIRECTED;
         if (rejected) {
             effects.add(new FleetEffect.CancelAttempt(event.attempt()));
             FleetState corrected = event.status() == MISDIRECTED
                     ? withTarget(loaded, id, target -> withoutAdapter(target, request))
                     : loaded;
-            FleetState known = withTarget(corrected, id, FleetTarget::answeredWithError);
+            // A target that says when it wants something again is sound, and is left alone until then.
+            boolean sound = event.statement().restMillis().isPresent();
+            FleetState known = sound ? corrected : withTarget(corrected, id, FleetTarget::answeredWithError);
             return again(known, request, id, false, "rejected with " + event.status(), event.nowMillis(), effects);
         }
         boolean failed = event.status() >= SERVER_ERRORS;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.FleetMessage;
@@ -50,10 +51,12 @@
                 && state.configuration()
                         .flatMap(known -> known.engine(request.service()))
                         .isPresent();
-        List<FleetTarget> usable = state.targets().values().stream()
+        List<FleetTarget> staying = state.targets().values().stream()
                 .filter(target -> target.description().service().equals(request.service()))
-                .filter(target -> !target.description().leaving())
+                .filter(target -> !target.isLeaving())
                 .toList();
+        List<FleetTarget> usable =
+                staying.stream().filter(target -> !target.rests(nowMillis)).toList();
         List<FleetTarget> able = engine
                 ? usable.stream()
                         .filter(target -> target.holds(
@@ -77,6 +80,14 @@
         if (choice.isPresent()) {
             return send(state, request, choice.get(), nowMillis, effects);
         }
+        OptionalLong restEnds = staying.stream()
+                .filter(target -> target.rests(nowMillis))
+                .filter(target -> !engine || target.holds(request.call().model().get(), Optional.empty()))
+                .mapToLong(target -> target.health().restsUntilMillis())
+                .min();
+        if (restEnds.isPresent()) {
+            return awaitRest(state, request, restEnds.getAsLong(), nowMillis, effects);
+        }
         if (!engine || usable.isEmpty()) {
             Refusal refusal = refusal(request, RefusalCode.NO_CAPACITY, RETRY_MILLIS);
             return refuse(state, request, refusal, "service has no target", effects);
@@ -84,6 +95,22 @@
         return wish(state, request, usable, nowMillis, effects);
     }
 
+    /** Lets a request wait for targets that want nothing for now, if it can still be on time; refuses it otherwise. */
+    private FleetState awaitRest(
+            FleetState state, FleetRequest request, long endsAtMillis, long nowMillis, List<FleetEffect> effects) {
+        long restMillis = endsAtMillis - nowMillis;
+        String reason = "its targets want nothing for " + restMillis + " ms";
+        if (endsAtMillis > request.arrivedAtMillis() + request.route().objectiveMillis()) {
+            FleetState returned = request.hasNotRun() ? quota.giveBack(state, request, nowMillis, effects) : state;
+            return refuse(returned, request, refusal(request, RefusalCode.QUEUE_FULL, restMillis), reason, effects);
+        }
+        if (request.phase() instanceof FleetPhase.AwaitingReplica) {
+            return state;
+        }
+        noteWait(request, reason, nowMillis, effects);
+        return state.with(request.in(new FleetPhase.AwaitingReplica(nowMillis, nowMillis)));
+    }
+
     /**
      * Returns whether the queue at the best engine is longer than the objective. A longer queue makes everybody late
      * and serves nobody more; the caller is better off coming back.
@@ -205,7 +232,9 @@
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
         FleetState next = state.with(request.in(new FleetPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
         if (!waitsAlready) {
-            noteWait(request, usable, nowMillis, effects);
+            boolean held = usable.stream().anyMatch(target -> target.holds(model, Optional.empty()));
+            String reason = held ? "no engine holds the adapter" : "no engine holds the model";
+            noteWait(request, reason, nowMillis, effects);
         }
         if (LeadershipFlow.holds(state, nowMillis)) {
             return adapters.onWish(next, nowMillis, wish, effects);
@@ -216,12 +245,7 @@
         return next;
     }
 
-    private static void noteWait(
-            FleetRequest request, List<FleetTarget> usable, long nowMillis, List<FleetEffect> effects) {
-        String model = request.call().model().orElseThrow();
-        long holders = usable.stream()
-                .filter(target -> target.holds(model, Optional.empty()))
-                .count();
+    private static void noteWait(FleetRequest request, String reason, long nowMillis, List<FleetEffect> effects) {
         effects.add(FleetEffect.Note.of(
                 "request_waiting",
                 "request",
@@ -229,13 +253,11 @@
                 "request_number",
                 request.id(),
                 "model",
-                model,
+                request.call().model().orElse("-"),
                 "adapter",
                 request.call().adapter().orElse("-"),
                 "reason",
-                holders == 0 ? "no engine holds the model" : "no engine holds the adapter",
-                "engines_with_model",
-                holders,
+                reason,
                 "left_ms",
                 request.expiresAtMillis() - nowMillis));
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
@@ -36,8 +36,7 @@
     static List<FleetTarget> all(FleetState state, String service) {
         return state.targets().values().stream()
                 .filter(target -> target.description().service().equals(service))
-                .filter(target ->
-                        !target.description().leaving() && target.goneAtMillis().isEmpty())
+                .filter(target -> !target.isLeaving() && target.goneAtMillis().isEmpty())
                 .toList();
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -9,8 +9,8 @@
 import org.jackdawbeam.model.fleet.FleetBounds;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.OrderResponse;
-import org.jackdawbeam.model.fleet.TargetLoad;
 import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.request.AttemptFailure;
 import org.jackdawbeam.model.request.AttemptId;
 
@@ -86,9 +86,10 @@
      * The head of an answer arrived.
      *
      * @param notExecuted whether the target states that it did not execute the request
+     * @param statement what the target says of itself
      */
     record AttemptAnswered(
-            long nowMillis, AttemptId attempt, int status, boolean notExecuted, Optional<TargetLoad> load)
+            long nowMillis, AttemptId attempt, int status, boolean notExecuted, TargetStatement statement)
             implements FleetEvent {}
 
     /** The first bytes of an answer's body arrived. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -15,11 +15,12 @@
     private final LeadershipFlow leadership = new LeadershipFlow();
     private final PeerFlow peers = new PeerFlow(leadership);
     private final HubFlow hubs = new HubFlow(feeds, leadership);
+    private final LeavingFlow leaving = new LeavingFlow();
     private final AdapterFlow adapters = new AdapterFlow();
     private final PlacementFlow placement = new PlacementFlow(adapters);
     private final DispatchFlow dispatch = new DispatchFlow(quota, adapters);
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
-    private final AttemptFlow attempts = new AttemptFlow(dispatch);
+    private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving);
     private final StopFlow stop = new StopFlow(peers, dispatch);
 
     /** Returns what the event changes and what is to be done. */
@@ -99,6 +100,7 @@
             case FleetMessage.QuotaAnswer answer -> requests.onQuotaAnswer(state, nowMillis, answer, effects);
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
             case FleetMessage.PlacementWish wish -> adapters.onWish(state, nowMillis, wish, effects);
+            case FleetMessage.TargetLeaving word -> leaving.onMessage(state, word, effects);
             case FleetMessage.Residency residency ->
                 dispatch.tick(peers.onResidency(state, residency, nowMillis), nowMillis, effects);
         };
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jackdawbeam.logic.target.PrefixIndex;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetLoad;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.request.AttemptId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -17,11 +19,10 @@
  * @param adapters adapters by model, as the holder of the placement duty says
  * @param unloading models that it is about to drop
  * @param outstanding this entry's requests at the target
- * @param failureShare moving share of failed attempts, 0 to 1
- * @param consecutiveFailures attempts that failed since the latest answer
- * @param avoidedUntilMillis until when other targets are preferred
+ * @param health how it has answered lately
  * @param prefixes prompt parts that it has probably cached
  * @param load what it said of its load with its latest answer
+ * @param saysLeaving whether it has said with an answer, to this entry or another, that it is about to leave
  * @param residencyAtMillis when the holder of the placement duty last told what it holds; long ago if never
  * @param goneAtMillis when it counts as gone, if its entry in the list has lapsed
  */
@@ -30,11 +31,10 @@
         Map<String, Set<String>> adapters,
         Set<String> unloading,
         PMap<AttemptId, Outstanding> outstanding,
-        double failureShare,
-        int consecutiveFailures,
-        long avoidedUntilMillis,
+        TargetHealth health,
         PrefixIndex prefixes,
         Optional<TargetLoad> load,
+        boolean saysLeaving,
         long residencyAtMillis,
         OptionalLong goneAtMillis) {
     private static final long NEVER = -1_000_000_000;
@@ -44,21 +44,16 @@
      */
     private static final long RESIDENCY_TRUST_MILLIS = 3_000;
 
-    private static final double FAILURE_WEIGHT = 0.15; // about the last seven attempts count
-    private static final long FIRST_AVOIDANCE_MILLIS = 250; // a restart or a lost connection is over by then
-    private static final int MAXIMUM_DOUBLINGS = 3; // 2 s at most, so that a restarted target is found soon
-
     static FleetTarget of(TargetDescription description) {
         return new FleetTarget(
                 description,
                 Map.of(),
                 Set.of(),
                 HashTreePMap.empty(),
-                0,
-                0,
-                0,
+                TargetHealth.unknown(),
                 PrefixIndex.empty(),
                 Optional.empty(),
+                false,
                 NEVER,
                 OptionalLong.empty());
     }
@@ -67,61 +62,38 @@
     FleetTarget described(TargetDescription news, long nowMillis) {
         boolean restarted = news.startedAtMillis() != description.startedAtMillis()
                 || !news.address().equals(description.address());
+        if (restarted) {
+            return of(news);
+        }
         boolean toldSince = nowMillis - residencyAtMillis < RESIDENCY_TRUST_MILLIS;
-        return restarted
-                ? of(news)
-                : new FleetTarget(
-                        toldSince ? news.withModels(description.models()) : news,
-                        adapters,
-                        toldSince ? unloading : Set.of(),
-                        outstanding,
-                        failureShare,
-                        consecutiveFailures,
-                        avoidedUntilMillis,
-                        prefixes,
-                        load,
-                        residencyAtMillis,
-                        OptionalLong.empty());
+        return changed(draft -> {
+            draft.description = toldSince ? news.withModels(description.models()) : news;
+            draft.unloading = toldSince ? unloading : Set.of();
+            draft.goneAtMillis = OptionalLong.empty();
+        });
     }
 
     FleetTarget lapsing(long goneAt) {
-        return new FleetTarget(
-                description,
-                adapters,
-                unloading,
-                outstanding,
-                failureShare,
-                consecutiveFailures,
-                avoidedUntilMillis,
-                prefixes,
-                load,
-                residencyAtMillis,
-                OptionalLong.of(goneAt));
+        return changed(draft -> draft.goneAtMillis = OptionalLong.of(goneAt));
     }
 
     FleetTarget withAdapters(Map<String, Set<String>> held) {
-        return withResidency(description.models(), held, unloading, residencyAtMillis);
+        return changed(draft -> draft.adapters = held);
     }
 
     FleetTarget withUnloading(Set<String> leavingModels) {
-        return withResidency(description.models(), adapters, leavingModels, residencyAtMillis);
+        return changed(draft -> draft.unloading = leavingModels);
     }
 
     /** Returns the target with what the holder of the placement duty knows of it. */
     FleetTarget withResidency(
             Set<String> models, Map<String, Set<String>> held, Set<String> leavingModels, long atMillis) {
-        return new FleetTarget(
-                description.withModels(models),
-                held,
-                leavingModels,
-                outstanding,
-                failureShare,
-                consecutiveFailures,
-                avoidedUntilMillis,
-                prefixes,
-                load,
-                atMillis,
-                goneAtMillis);
+        return changed(draft -> {
+            draft.description = description.withModels(models);
+            draft.adapters = held;
+            draft.unloading = leavingModels;
+            draft.residencyAtMillis = atMillis;
+        });
     }
 
     boolean holdsTheSameAs(FleetTarget other) {
@@ -131,33 +103,32 @@
     }
 
     FleetTarget withPrefixes(PrefixIndex index) {
-        return new FleetTarget(
-                description,
-                adapters,
-                unloading,
-                outstanding,
-                failureShare,
-                consecutiveFailures,
-                avoidedUntilMillis,
-                index,
-                load,
-                residencyAtMillis,
-                goneAtMillis);
-    }
-
-    FleetTarget withLoad(Optional<TargetLoad> stated) {
-        return new FleetTarget(
-                description,
-                adapters,
-                unloading,
-                outstanding,
-                failureShare,
-                consecutiveFailures,
-                avoidedUntilMillis,
-                prefixes,
-                stated.isPresent() ? stated : load,
-                residencyAtMillis,
-                goneAtMillis);
+        return changed(draft -> draft.prefixes = index);
+    }
+
+    /** Returns the target with what it has said of itself with an answer. */
+    FleetTarget stating(TargetStatement statement, long nowMillis) {
+        return changed(draft -> {
+            draft.load = statement.load().or(() -> load);
+            draft.saysLeaving = saysLeaving || statement.leaving();
+            draft.health = statement.restMillis().isPresent()
+                    ? health.resting(nowMillis + statement.restMillis().getAsLong())
+                    : health;
+        });
+    }
+
+    FleetTarget leaving() {
+        return changed(draft -> draft.saysLeaving = true);
+    }
+
+    /** Returns whether the target is about to leave, by the list or by its own word, whichever was known first. */
+    boolean isLeaving() {
+        return saysLeaving || description.leaving();
+    }
+
+    /** Returns whether the target wants nothing from this entry for now. */
+    boolean rests(long nowMillis) {
+        return nowMillis < health.restsUntilMillis();
     }
 
     FleetTarget sent(AttemptId attempt, Outstanding work) {
@@ -174,19 +145,15 @@
     }
 
     FleetTarget succeeded() {
-        return withHealth(failureShare * (1 - FAILURE_WEIGHT), 0, avoidedUntilMillis);
+        return withHealth(health.succeeded());
     }
 
-    /** Counts an answer that is a failure; the target is reachable. */
     FleetTarget answeredWithError() {
-        return withHealth(failureShare * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT, 0, avoidedUntilMillis);
+        return withHealth(health.answeredWithError());
     }
 
-    /** Counts a failed connection and prefers other targets for a while. */
     FleetTarget unreachable(long nowMillis) {
-        long avoidance = FIRST_AVOIDANCE_MILLIS << Math.min(consecutiveFailures, MAXIMUM_DOUBLINGS);
-        return withHealth(
-                failureShare * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT, consecutiveFailures + 1, nowMillis + avoidance);
+        return withHealth(health.unreachable(nowMillis));
     }
 
     /** Returns the tokens that the target has yet to read for this entry. */
@@ -204,32 +171,57 @@
     }
 
     private FleetTarget withOutstanding(PMap<AttemptId, Outstanding> changed) {
-        return new FleetTarget(
-                description,
-                adapters,
-                unloading,
-                changed,
-                failureShare,
-                consecutiveFailures,
-                avoidedUntilMillis,
-                prefixes,
-                load,
-                residencyAtMillis,
-                goneAtMillis);
-    }
-
-    private FleetTarget withHealth(double share, int failures, long avoidedUntil) {
-        return new FleetTarget(
-                description,
-                adapters,
-                unloading,
-                outstanding,
-                share,
-                failures,
-                avoidedUntil,
-                prefixes,
-                load,
-                residencyAtMillis,
-                goneAtMillis);
+        return changed(draft -> draft.outstanding = changed);
+    }
+
+    private FleetTarget withHealth(TargetHealth changed) {
+        return changed(draft -> draft.health = changed);
+    }
+
+    private FleetTarget changed(Consumer<Draft> change) {
+        Draft draft = new Draft(this);
+        change.accept(draft);
+        return draft.build();
+    }
+
+    /** Components of a target while a copy is made. */
+    private static final class Draft {
+        private TargetDescription description;
+        private Map<String, Set<String>> adapters;
+        private Set<String> unloading;
+        private PMap<AttemptId, Outstanding> outstanding;
+        private TargetHealth health;
+        private PrefixIndex prefixes;
+        private Optional<TargetLoad> load;
+        private boolean saysLeaving;
+        private long residencyAtMillis;
+        private OptionalLong goneAtMillis;
+
+        Draft(FleetTarget source) {
+            description = source.description;
+            adapters = source.adapters;
+            unloading = source.unloading;
+            outstanding = source.outstanding;
+            health = source.health;
+            prefixes = source.prefixes;
+            load = source.load;
+            saysLeaving = source.saysLeaving;
+            residencyAtMillis = source.residencyAtMillis;
+            goneAtMillis = source.goneAtMillis;
+        }
+
+        FleetTarget build() {
+            return new FleetTarget(
+                    description,
+                    adapters,
+                    unloading,
+                    outstanding,
+                    health,
+                    prefixes,
+                    load,
+                    saysLeaving,
+                    residencyAtMillis,
+                    goneAtMillis);
+        }
     }
 }
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeavingFlow.java
@@ -0,0 +1,63 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.FleetMessage;
+
+/** Spreads the word of targets that say with an answer that they are about to leave, each once. */
+final class LeavingFlow {
+
+    /** Tells the others what this entry has just heard from the target itself. */
+    FleetState onOwnWord(FleetState state, String target, List<FleetEffect> effects) {
+        FleetTarget known = state.targets().get(target);
+        if (known == null || known.saysLeaving()) {
+            return state;
+        }
+        return spread(state, known, state.self().id(), effects);
+    }
+
+    FleetState onMessage(FleetState state, FleetMessage.TargetLeaving message, List<FleetEffect> effects) {
+        FleetTarget known = state.targets().get(message.target());
+        boolean news = known != null
+                && !known.saysLeaving()
+                && known.description().startedAtMillis() == message.startedAtMillis();
+        return news ? spread(state, known, message.sender(), effects) : state;
+    }
+
+    private static FleetState spread(FleetState state, FleetTarget target, String source, List<FleetEffect> effects) {
+        String id = target.description().id();
+        effects.add(FleetEffect.Note.of("target_says_leaving", "target", id, "heard_from", source));
+        FleetMessage word = new FleetMessage.TargetLeaving(
+                state.self().id(), id, target.description().startedAtMillis());
+        boolean own = source.equals(state.self().id());
+        if (!FleetTimings.isMesh(state.memberCount())) {
+            receivers(state, own, source).forEach(member -> send(state, member, word, effects));
+        } else if (own) {
+            PeerFlow.sendToAll(state, word, effects);
+        }
+        return state.with(target.leaving());
+    }
+
+    /** Returns who is told in a large fleet: by an entry its hub; by a hub its group, and other hubs of its group's. */
+    private static Set<String> receivers(FleetState state, boolean own, String source) {
+        Set<String> receivers = new LinkedHashSet<>();
+        if (HubFlow.isHub(state)) {
+            receivers.addAll(state.hub().group().keySet());
+            boolean fromOtherHub = state.hub().groups().containsKey(source);
+            receivers.addAll(fromOtherHub ? Set.of() : state.hub().groups().keySet());
+        } else if (own) {
+            state.hub().id().ifPresent(receivers::add);
+        }
+        receivers.remove(source);
+        receivers.remove(state.self().id());
+        return receivers;
+    }
+
+    private static void send(FleetState state, String member, FleetMessage word, List<FleetEffect> effects) {
+        Optional.ofNullable(state.peers().get(member))
+                .ifPresent(peer -> effects.add(
+                        new FleetEffect.SendPeerMessage(peer.member().peerAddress(), word)));
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -196,11 +196,12 @@
             FleetState current = next;
             List<FleetTarget> targets = Engines.all(current, service);
             long loading = targets.stream()
-                    .filter(target -> view(current, target).loadsFromStore())
+                    .filter(target -> view(current, target, nowMillis).loadsFromStore())
                     .count();
             boolean storeLoads = current.placement().loads() >= 1 && loading < LOADS_AT_ONCE;
-            List<ReplicaPlanner.Engine> engines =
-                    targets.stream().map(target -> view(current, target)).toList();
+            List<ReplicaPlanner.Engine> engines = targets.stream()
+                    .map(target -> view(current, target, nowMillis))
+                    .toList();
             Optional<ReplicaPlanner.Move> move = new ReplicaPlanner(engine, engines, needs, storeLoads).plan();
             if (move.isEmpty()) {
                 return next;
@@ -232,7 +233,7 @@
         };
     }
 
-    private static ReplicaPlanner.Engine view(FleetState state, FleetTarget target) {
+    private static ReplicaPlanner.Engine view(FleetState state, FleetTarget target, long nowMillis) {
         EngineDuty duty = Engines.duty(state, target);
         Optional<String> coming = duty.changing()
                 .or(() -> duty.underWay()
@@ -246,7 +247,7 @@
         return new ReplicaPlanner.Engine(
                 target.description().id(),
                 Set.copyOf(kept),
-                duty.isIdle(),
+                duty.isIdle() && !target.rests(nowMillis),
                 coming,
                 target.description().atHand());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -73,10 +73,10 @@
                 : serviceMillis(target, running);
         millis += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
         millis += overdueMillis(target, nowMillis);
-        boolean avoided = target.avoidedUntilMillis() > nowMillis;
-        millis += avoided && target.consecutiveFailures() > 1 ? AVOIDED_MILLIS : 0;
+        boolean avoided = target.health().avoidedUntilMillis() > nowMillis;
+        millis += avoided && target.health().consecutiveFailures() > 1 ? AVOIDED_MILLIS : 0;
         // Failures make others better, not the queue longer: without requests the share would never fall again.
-        double penalty = target.failureShare() * FAILURE_MILLIS;
+        double penalty = target.health().failureShare() * FAILURE_MILLIS;
         penalty += avoided || request.tried().contains(id) ? AVOIDED_MILLIS : 0;
         return new Choice(target, unread, Math.round(millis), Math.round(penalty));
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -139,4 +139,11 @@
             Map<String, Set<String>> adaptersByModel,
             Set<String> unloading)
             implements FleetMessage {}
+
+    /**
+     * A target has said with an answer that it is about to leave.
+     *
+     * @param startedAtMillis Unix time of the target's start; a later start is another matter
+     */
+    record TargetLeaving(String sender, String target, long startedAtMillis) implements FleetMessage {}
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AnswerHead.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AnswerHead.java
@@ -1,7 +1,6 @@
 package org.jackdawbeam.net.fleet;
 
-import java.util.Optional;
-import org.jackdawbeam.model.fleet.TargetLoad;
+import org.jackdawbeam.model.fleet.TargetStatement;
 
 /**
  * What the head of a target's answer says.
@@ -9,7 +8,8 @@
  * @param foreign whether it answers another request
  * @param sealed whether it carries the target's signature
  * @param notExecuted whether the target states that it did not execute the request
+ * @param statement what the target says of itself
  * @param idleMillis how long the connection may be reused after the answer; 0 if not at all
  */
 public record AnswerHead(
-        boolean foreign, boolean sealed, boolean notExecuted, Optional<TargetLoad> load, long idleMillis) {}
+        boolean foreign, boolean sealed, boolean notExecuted, TargetStatement statement, long idleMillis) {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -147,7 +147,7 @@
         idleMillis = head.idleMillis();
         answerHeaders = dialect.answerHeaders(response.headers());
         loop.submit(new FleetEvent.AttemptAnswered(
-                loop.nowMillis(), start.attempt(), status, head.notExecuted(), head.load()));
+                loop.nowMillis(), start.attempt(), status, head.notExecuted(), head.statement()));
     }
 
     private void onContent(ChannelHandlerContext context, HttpContent content) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -22,6 +22,7 @@
 import org.jackdawbeam.model.fleet.ServiceDefinition;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetReport;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.fleet.WeightedService;
 import org.jackdawbeam.model.fleet.Workspace;
 import org.jackdawbeam.model.request.AttemptId;
@@ -217,7 +218,7 @@
     }
 
     void answer(AttemptId attempt, int status, boolean notExecuted) {
-        apply(new FleetEvent.AttemptAnswered(nowMillis, attempt, status, notExecuted, Optional.empty()));
+        apply(new FleetEvent.AttemptAnswered(nowMillis, attempt, status, notExecuted, TargetStatement.nothing()));
     }
 
     <T extends FleetEffect> List<T> all(Class<T> type) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FeedEntry;
@@ -11,6 +12,7 @@
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
 import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.junit.jupiter.api.Test;
 
 class HubFlowTest {
@@ -183,4 +185,40 @@
 
         assertThat(passedOn()).hasSize(1);
     }
+
+    @Test
+    void wordOfALeavingEngineGoesToTheHubOnly() {
+        fixture.chat("chat", "m1");
+        var attempt = fixture.only(FleetEffect.StartAttempt.class).attempt();
+
+        fixture.apply(new FleetEvent.AttemptAnswered(
+                fixture.nowMillis,
+                attempt,
+                200,
+                false,
+                new TargetStatement(Optional.empty(), true, OptionalLong.empty())));
+
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .extracting(FleetEffect.SendPeerMessage::address)
+                .containsExactly(HUB + ":1");
+    }
+
+    @Test
+    void hubPassesThatWordOnOnce() {
+        for (String reporter : List.of("m1", "m2")) {
+            FleetMember member = member(Integer.parseInt(reporter.substring(1)));
+            fixture.hear(
+                    new FleetMessage.Digest(reporter, member, 0, true, false, Optional.empty(), List.of(), List.of()));
+        }
+        FleetMessage word = new FleetMessage.TargetLeaving("m1", "e1", 7);
+
+        fixture.hear(word);
+
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .extracting(FleetEffect.SendPeerMessage::address)
+                .contains("m2:1")
+                .doesNotContain("m1:1");
+        fixture.hear(word);
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class)).isEmpty();
+    }
 }
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
@@ -0,0 +1,217 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.fleet.TargetStatement;
+import org.jackdawbeam.model.refusal.Ran;
+import org.jackdawbeam.model.request.AttemptId;
+import org.junit.jupiter.api.Test;
+
+/** What targets say of themselves with answers: that they leave, and that they want nothing for a while. */
+class TargetStatementTest {
+    private static final TargetStatement LEAVING = new TargetStatement(Optional.empty(), true, OptionalLong.empty());
+    private final FleetFixture fixture =
+            FleetFixture.serving(FleetFixture.engine("e1", "m1"), FleetFixture.engine("e22", "m1"));
+
+    private FleetEffect.StartAttempt started() {
+        return fixture.only(FleetEffect.StartAttempt.class);
+    }
+
+    private void answer(AttemptId attempt, int status, TargetStatement statement) {
+        fixture.apply(new FleetEvent.AttemptAnswered(fixture.nowMillis, attempt, status, status == 503, statement));
+    }
+
+    /** Asks for so little that the workspace's rate does not matter. */
+    private static void ask(FleetFixture entry, String model) {
+        entry.arrive("chat", FleetFixture.KEY, Optional.of(model), Optional.empty(), 10);
+    }
+
+    private static TargetStatement resting(long millis) {
+        return new TargetStatement(Optional.empty(), false, OptionalLong.of(millis));
+    }
+
+    /** Returns the engine that has said with an answer that it leaves. */
+    private String leavingEngine() {
+        ask(fixture, "m1");
+        String engine = started().target().id();
+        answer(started().attempt(), 200, LEAVING);
+        return engine;
+    }
+
+    private List<String> enginesOfNextRequests(int requests) {
+        return IntStream.range(0, requests)
+                .mapToObj(number -> {
+                    ask(fixture, "m1");
+                    FleetEffect.StartAttempt start = started();
+                    fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, start.attempt()));
+                    return start.target().id();
+                })
+                .toList();
+    }
+
+    @Test
+    void engineThatSaysItLeavesGetsNothingNewAlthoughTheListSaysReady() {
+        String leaving = leavingEngine();
+
+        assertThat(enginesOfNextRequests(12)).doesNotContain(leaving);
+    }
+
+    @Test
+    void laterEntryOfTheListDoesNotTakeThatBack() {
+        String leaving = leavingEngine();
+
+        fixture.list(FleetFixture.engine(leaving, "m1"));
+
+        assertThat(enginesOfNextRequests(12)).doesNotContain(leaving);
+    }
+
+    @Test
+    void restartTakesItBack() {
+        String leaving = leavingEngine();
+        TargetDescription before = FleetFixture.engine(leaving, "m1");
+
+        fixture.list(new TargetDescription(
+                leaving, "engines", before.address(), "zone-1", 64, false, Set.of("m1"), Set.of(), 8, 0));
+
+        assertThat(enginesOfNextRequests(12)).contains(leaving);
+    }
+
+    @Test
+    void otherEntriesAreToldOnce() {
+        ask(fixture, "m1");
+        FleetEffect.StartAttempt first = started();
+        fixture.hear("b");
+        fixture.hear("c");
+
+        answer(first.attempt(), 200, LEAVING);
+
+        FleetMessage told = new FleetMessage.TargetLeaving("a", first.target().id(), 7);
+        assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
+                .containsExactlyInAnyOrder(
+                        new FleetEffect.SendPeerMessage("b:1", told), new FleetEffect.SendPeerMessage("c:1", told));
+    }
+
+    @Test
+    void wordOfAnotherEntryStopsNewWork() {
+        fixture.hear(new FleetMessage.TargetLeaving("b", "e1", 7));
+
+        assertThat(enginesOfNextRequests(12)).doesNotContain("e1");
+    }
+
+    @Test
+    void wordOfAnEarlierStartDoesNotCount() {
+        fixture.hear(new FleetMessage.TargetLeaving("b", "e1", 6));
+
+        assertThat(enginesOfNextRequests(12)).contains("e1");
+    }
+
+    @Test
+    void leavingEngineGetsNoOrders() {
+        FleetFixture alone = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        alone.hear(new FleetMessage.TargetLeaving("b", "e1", 7));
+        alone.takeDuty(1);
+        alone.report("e1", 0, Set.of("m1"), Map.of());
+
+        alone.chat("slow", "m2");
+        alone.advanceInContact(300);
+
+        assertThat(alone.all(FleetEffect.SendOrder.class)).isEmpty();
+        assertThat(alone.all(FleetEffect.ReadReport.class)).isEmpty();
+    }
+
+    @Test
+    void engineThatTurnsAwayWithATimeGetsNothingUntilThen() {
+        ask(fixture, "m1");
+        String resting = started().target().id();
+        answer(started().attempt(), 503, resting(1_500));
+
+        assertThat(started().target().id()).isNotEqualTo(resting);
+        fixture.apply(
+                new FleetEvent.AttemptCompleted(fixture.nowMillis, started().attempt()));
+        assertThat(enginesOfNextRequests(4)).doesNotContain(resting);
+        fixture.advanceInContact(1_400);
+        assertThat(enginesOfNextRequests(1)).doesNotContain(resting);
+        fixture.advanceInContact(150);
+        String other = resting.equals("e1") ? "e22" : "e1";
+        fixture.hear(new FleetMessage.TargetLeaving("b", other, 7));
+        assertThat(enginesOfNextRequests(1)).contains(resting);
+    }
+
+    @Test
+    void callerIsToldWhenTheEnginesWantSomethingAgain() {
+        FleetFixture alone = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        ask(alone, "m1");
+        AttemptId attempt = alone.only(FleetEffect.StartAttempt.class).attempt();
+        alone.apply(new FleetEvent.AttemptAnswered(alone.nowMillis, attempt, 503, true, resting(1_200)));
+
+        ask(alone, "m1");
+
+        assertThat(alone.all(FleetEffect.StartAttempt.class)).isEmpty();
+        var refusal = alone.only(FleetEffect.RefuseRequest.class).refusal();
+        assertThat(refusal.ran()).isEqualTo(Ran.NO);
+        assertThat(refusal.retryAfterMillis()).hasValue(1_200);
+    }
+
+    @Test
+    void requestThatCanStillBeOnTimeWaitsForTheEndOfAShortRest() {
+        FleetFixture alone = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        ask(alone, "m1");
+        AttemptId attempt = alone.only(FleetEffect.StartAttempt.class).attempt();
+        alone.apply(new FleetEvent.AttemptAnswered(alone.nowMillis, attempt, 503, true, resting(200)));
+
+        ask(alone, "m1");
+
+        assertThat(alone.all(FleetEffect.RefuseRequest.class)).isEmpty();
+        alone.advanceInContact(200);
+        assertThat(alone.state.requests().get(2L).phase()).isInstanceOf(FleetPhase.Running.class);
+    }
+
+    @Test
+    void plainServiceThatTurnsAwayIsLeftAloneToo() {
+        FleetFixture payments = FleetFixture.serving(FleetFixture.service("s1"));
+        payments.call("pay");
+        AttemptId attempt = payments.only(FleetEffect.StartAttempt.class).attempt();
+        payments.apply(new FleetEvent.AttemptAnswered(payments.nowMillis, attempt, 503, true, resting(900)));
+
+        payments.call("pay");
+
+        assertThat(payments.all(FleetEffect.StartAttempt.class)).isEmpty();
+        assertThat(payments.only(FleetEffect.RefuseRequest.class).refusal().retryAfterMillis())
+                .hasValue(900);
+    }
+
+    @Test
+    void restEndsWithARestart() {
+        ask(fixture, "m1");
+        TargetDescription resting = started().target();
+        answer(started().attempt(), 503, resting(60_000));
+
+        fixture.list(new TargetDescription(
+                resting.id(), "engines", resting.address(), "zone-1", 64, false, Set.of("m1"), Set.of(), 8, 0));
+
+        assertThat(enginesOfNextRequests(12)).contains(resting.id());
+    }
+
+    @Test
+    void restingEngineGetsNoOrders() {
+        FleetFixture alone = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        alone.takeDuty(1);
+        alone.report("e1", 0, Set.of("m1"), Map.of());
+        ask(alone, "m1");
+        AttemptId attempt = alone.only(FleetEffect.StartAttempt.class).attempt();
+        alone.apply(new FleetEvent.AttemptAnswered(alone.nowMillis, attempt, 503, true, resting(5_000)));
+
+        alone.chat("slow", "m2");
+        alone.advanceInContact(50);
+
+        assertThat(alone.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+}
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
@@ -37,6 +37,7 @@
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.jackdawbeam.model.fleet.ServiceDefinition;
 import org.jackdawbeam.model.fleet.TargetDescription;
+import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.fleet.WeightedService;
 import org.jackdawbeam.model.time.MonotonicClock;
 import org.jackdawbeam.net.http.HttpExchange;
@@ -358,7 +359,7 @@
         public AnswerHead read(HttpResponse response, String callerRequestId) {
             String id = response.headers().get("id", callerRequestId);
             boolean sealed = response.headers().contains("seal");
-            return new AnswerHead(!id.equals(callerRequestId), sealed, false, Optional.empty(), 1_000);
+            return new AnswerHead(!id.equals(callerRequestId), sealed, false, TargetStatement.nothing(), 1_000);
         }
 
         @Override
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
@@ -12,6 +12,7 @@
 /** What the targets have executed, as the judge of promises. Thread-safe. */
 public final class TargetLedger {
     private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> rejections = new ConcurrentHashMap<>();
     private final Map<String, Long> leavingSinceMillis = new ConcurrentHashMap<>();
     private final Map<Long, String> holders = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Execution> history = new ConcurrentLinkedQueue<>();
@@ -42,6 +43,16 @@
         leavingSinceMillis.putIfAbsent(target, System.currentTimeMillis());
     }
 
+    void turnedAway(String target) {
+        rejections.computeIfAbsent(target, id -> new AtomicInteger()).incrementAndGet();
+    }
+
+    /** Returns how many requests a target has turned away. */
+    public int rejections(String target) {
+        AtomicInteger count = rejections.get(target);
+        return count == null ? 0 : count.get();
+    }
+
     /** Notes an accepted order. */
     public void ordered(String target, long fencingToken, String holder) {
         String first = holders.putIfAbsent(fencingToken, holder);
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
     public static final int EVENTS = 6;
 
     private static final long SERVICE_MILLIS = 10;
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final Map<String, String> NO_HEADERS = Map.of();
 
     private final String id;
@@ -39,6 +41,8 @@
     private long orderCount;
     private boolean busy;
     private boolean draining;
+    private boolean saysLeaving;
+    private long turnsAwayUntilNanos;
     private long highestToken;
     private int running;
 
@@ -72,9 +76,29 @@
     /** Says from now on that it is leaving. */
     public synchronized void drain() {
         draining = true;
+        sayLeaving();
+    }
+
+    /** Says with its answers from now on that it is leaving, and not in the store. */
+    public synchronized void sayLeaving() {
+        saysLeaving = true;
         ledger.leaving(id);
     }
 
+    /** Turns requests away for a while and says so. */
+    public synchronized void turnAway(long millis) {
+        turnsAwayUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private synchronized OptionalLong turnsAwayForMillis() {
+        long left = TimeUnit.NANOSECONDS.toMillis(turnsAwayUntilNanos - System.nanoTime());
+        return turnsAwayUntilNanos != 0 && left > 0 ? OptionalLong.of(left) : OptionalLong.empty();
+    }
+
+    private synchronized boolean saysLeaving() {
+        return saysLeaving;
+    }
+
     /** Returns what the target says of itself in the store. */
     public synchronized byte[] entry(String address) {
         Map<String, Object> entry = new LinkedHashMap<>();
@@ -168,12 +192,22 @@
             exchange.respond(421, "text/plain", new byte[0], Map.of("Not-Executed", "1", "Instance-Id", id));
             return;
         }
+        OptionalLong turnsAway = turnsAwayForMillis();
+        if (turnsAway.isPresent()) {
+            String seconds = Double.toString(turnsAway.getAsLong() / MILLIS_PER_SECOND);
+            ledger.turnedAway(id);
+            exchange.respond(503, "text/plain", new byte[0], Map.of("Not-Executed", "1", "Retry-After", seconds));
+            return;
+        }
         String requestId = request.get("Request-Id", "");
         ledger.executed(requestId, id, request.get("Tenant", ""));
         HttpHeaders answer = new DefaultHttpHeaders();
         answer.set("Request-Id", requestId);
         answer.set("Server-Seal", id + "." + requestId);
         answer.set("Instance-Load", loadAfter(1) + ",0,64");
+        if (saysLeaving()) {
+            answer.set("Server-Leaving", "1");
+        }
         if (!engine) {
             byte[] body = ("done " + requestId).getBytes(StandardCharsets.UTF_8);
             answer.set("content-length", body.length);
