Replicas and choices by what answers show and the configuration tells, not by one site's figures

Cause: ReplicaPlanner and TargetChooser had 20,000 tokens a second, 2,000 tokens a request, a load of one second and three loads at once built in. Change: ReadingPace follows, by service, how many prompt tokens engines read in a millisecond (a quantile below one half, as caches that were not known of make engines look fast) and how long prompts are. Times of loads from store, disk and memory come from the configuration; as many loads run at once as begin in the time of one; the first report of a load is asked for when it can be done at the earliest; a replica counts for the part of ten seconds that its load leaves. Tests: ReadingPaceTest (burst of long prompts on fast engines; failed before by construction), ReplicaPlannerTest on deployments that differ tenfold.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
@@ -95,7 +95,7 @@
 
     private static EngineDefinition engine() {
         Map<String, ModelDefinition> models = new HashMap<>();
-        MODELS.forEach(name -> models.put(name, new ModelDefinition(name, 70_000, 1_200, 60)));
+        MODELS.forEach(name -> models.put(name, new ModelDefinition(name, 70_000, 1_200, 600, 400, 60)));
         return new EngineDefinition(64, 160_000, 200_000, 2, 2.4, Map.copyOf(models));
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -67,13 +67,23 @@
         return judged.with(request.in(new FleetPhase.Running(event.attempt(), id, true)));
     }
 
+    /** The first bytes of an answer show how fast the engine has read the prompt and those before it. */
     FleetState onStreaming(FleetState state, FleetEvent.AttemptStreaming event) {
-        return current(state, event.attempt())
-                .map(request -> withTarget(
-                        state,
-                        ((FleetPhase.Running) request.phase()).target(),
-                        target -> target.begun(event.attempt())))
-                .orElse(state);
+        Optional<FleetRequest> found = current(state, event.attempt());
+        if (found.isEmpty()) {
+            return state;
+        }
+        String id = ((FleetPhase.Running) found.get().phase()).target();
+        FleetTarget target = state.targets().get(id);
+        Outstanding work = target == null ? null : target.outstanding().get(event.attempt());
+        if (work == null) {
+            return state;
+        }
+        String service = found.get().service();
+        double decoding = TargetChooser.decodingMillis(target.outstanding().size());
+        ReadingPace pace = state.pace(service)
+                .observed(work.unreadTokens() + work.aheadTokens(), event.nowMillis() - work.sentAtMillis() - decoding);
+        return state.with(target.begun(event.attempt())).with(service, pace);
     }
 
     FleetState onCompleted(FleetState state, FleetEvent.AttemptCompleted event) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -36,7 +36,9 @@
             return state;
         }
         String key = new DemandKey(request.service(), model.get()).text();
-        return state.with(state.demand().plus(key, request.call().inputTokens(), nowMillis));
+        long tokens = request.call().inputTokens();
+        return state.with(state.demand().plus(key, tokens, nowMillis))
+                .with(request.service(), state.pace(request.service()).asked(tokens));
     }
 
     /** Sends the request to the best target, or lets it wait for a replica. */
@@ -197,7 +199,8 @@
         AttemptId attempt = new AttemptId(request.id(), request.attempts() + 1);
         FleetTarget target = choice.target();
         String id = target.description().id();
-        Outstanding work = new Outstanding(nowMillis, choice.unreadTokens(), choice.estimateMillis(), false);
+        Outstanding work =
+                new Outstanding(nowMillis, choice.unreadTokens(), choice.aheadTokens(), choice.estimateMillis(), false);
         FleetTarget busier = target.sent(attempt, work)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixes(request), nowMillis));
         effects.add(new FleetEffect.StartAttempt(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -18,6 +18,7 @@
  * @param buckets units of the workspaces that this entry has counted
  * @param retries retries allowed by service
  * @param demand what callers of this entry ask for, by {@link DemandKey}
+ * @param paces how fast engines read, by service
  * @param sent what the other entries were last told
  * @param hub how news pass in a fleet that is too large for all to tell all
  */
@@ -34,6 +35,7 @@
         Leadership leadership,
         PlacementState placement,
         Demand demand,
+        PMap<String, ReadingPace> paces,
         Announcement announcement,
         StopStage stop,
         SentWork sent,
@@ -59,6 +61,7 @@
                 Leadership.unknown(),
                 PlacementState.empty(),
                 Demand.none(DEMAND_WINDOW_MILLIS),
+                HashTreePMap.empty(),
                 Announcement.DUE,
                 new StopStage.Serving(),
                 SentWork.nothing(),
@@ -143,6 +146,16 @@
         return draft.build();
     }
 
+    FleetState with(String service, ReadingPace pace) {
+        Draft draft = new Draft(this);
+        draft.paces = paces.plus(service, pace);
+        return draft.build();
+    }
+
+    ReadingPace pace(String service) {
+        return paces.getOrDefault(service, ReadingPace.unknown());
+    }
+
     FleetState with(Announcement changed) {
         Draft draft = new Draft(this);
         draft.announcement = changed;
@@ -190,6 +203,7 @@
         private Leadership leadership;
         private PlacementState placement;
         private Demand demand;
+        private PMap<String, ReadingPace> paces;
         private Announcement announcement;
         private StopStage stop;
         private SentWork sent;
@@ -208,6 +222,7 @@
             leadership = source.leadership;
             placement = source.placement;
             demand = source.demand;
+            paces = source.paces;
             announcement = source.announcement;
             stop = source.stop;
             sent = source.sent;
@@ -228,6 +243,7 @@
                     leadership,
                     placement,
                     demand,
+                    paces,
                     announcement,
                     stop,
                     sent,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Outstanding.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Outstanding.java
@@ -4,13 +4,15 @@
  * A request that was sent to a target and has not ended.
  *
  * @param unreadTokens prompt tokens that the target has to read, without what it probably holds in its cache
+ * @param aheadTokens prompt tokens of other requests that it was expected to read before
  * @param estimateMillis expected time to the first byte
  * @param answering whether the answer has begun
  */
-public record Outstanding(long sentAtMillis, long unreadTokens, long estimateMillis, boolean answering) {
+public record Outstanding(
+        long sentAtMillis, long unreadTokens, long aheadTokens, long estimateMillis, boolean answering) {
 
     Outstanding begun() {
-        return new Outstanding(sentAtMillis, unreadTokens, estimateMillis, true);
+        return new Outstanding(sentAtMillis, unreadTokens, aheadTokens, estimateMillis, true);
     }
 
     /** Returns by how much the answer is later than expected. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.EngineOrder;
+import org.jackdawbeam.model.fleet.ModelDefinition;
 import org.jackdawbeam.model.fleet.ServiceDefinition;
 import org.jackdawbeam.model.fleet.TargetReport;
 import org.jackdawbeam.model.log.OrderAction;
@@ -16,11 +17,11 @@
 /** Orders engines to load and drop models, while this entry holds the placement duty, and follows what they answer. */
 final class PlacementFlow {
     private static final long PLAN_MILLIS = 100;
-    private static final long FIRST_REPORT_MILLIS = 420; // no model is loaded sooner
+    private static final double FIRST_REPORT_PART = 0.95; // of the shortest time that a load may take
     private static final long REPORT_MILLIS = 200; // reports are that old
-    private static final double LOAD_BURST = 2;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double LOAD_BURST = 2; // the limit on loads in a window leaves room for three
     private static final int MOVES_AT_ONCE = 4; // bounds the work of one event
-    private static final int LOADS_AT_ONCE = 3; // the weight store serves that many at full speed
 
     private final AdapterFlow adapters;
 
@@ -140,7 +141,8 @@
             List<FleetEffect> effects) {
         EngineDuty counted = duty.answered(OptionalLong.of(order.expectedCount() + 1), duty.reportAtMillis());
         if (order.adapter().isEmpty()) {
-            EngineDuty changing = counted.changing(order, nowMillis, nowMillis + FIRST_REPORT_MILLIS);
+            EngineDuty changing =
+                    counted.changing(order, nowMillis, nowMillis + firstReportMillis(state, target, order));
             return state.with(state.placement().with(order.target(), changing));
         }
         // An engine that does not answer that it is done still has requests of the adapter; a report tells the end.
@@ -150,6 +152,29 @@
         return adapters.withAdapter(state, target, next, order, nowMillis, effects);
     }
 
+    /** Returns how long after an order the first report is worth its price. */
+    private static long firstReportMillis(FleetState state, FleetTarget target, EngineOrder order) {
+        Optional<ModelDefinition> model = state.configuration()
+                .flatMap(known -> known.engine(target.description().service()))
+                .map(engine -> engine.models().get(order.model()));
+        if (order.action() != OrderAction.LOAD_MODEL || model.isEmpty()) {
+            return REPORT_MILLIS;
+        }
+        boolean atHand = target.description().atHand().contains(order.model());
+        long shortest = atHand ? model.get().memoryMillis() : model.get().loadMillis();
+        return Math.max(REPORT_MILLIS, Math.round(shortest * FIRST_REPORT_PART));
+    }
+
+    /** Returns how many loads the weight store serves at full speed: as many as begin in the time of one. */
+    private static long loadsAtOnce(EngineDefinition engine) {
+        double loadSeconds = engine.models().values().stream()
+                        .mapToLong(ModelDefinition::loadMillis)
+                        .average()
+                        .orElse(0)
+                / MILLIS_PER_SECOND;
+        return Math.max(1, Math.round(engine.loadsPerSecond() * loadSeconds));
+    }
+
     private FleetState holds(
             FleetState state,
             FleetTarget target,
@@ -198,11 +223,12 @@
             long loading = targets.stream()
                     .filter(target -> view(current, target, nowMillis).loadsFromStore())
                     .count();
-            boolean storeLoads = current.placement().loads() >= 1 && loading < LOADS_AT_ONCE;
+            boolean storeLoads = current.placement().loads() >= 1 && loading < loadsAtOnce(engine);
             List<ReplicaPlanner.Engine> engines = targets.stream()
                     .map(target -> view(current, target, nowMillis))
                     .toList();
-            Optional<ReplicaPlanner.Move> move = new ReplicaPlanner(engine, engines, needs, storeLoads).plan();
+            Optional<ReplicaPlanner.Move> move =
+                    new ReplicaPlanner(engine, engines, needs, storeLoads, next.pace(service)).plan();
             if (move.isEmpty()) {
                 return next;
             }
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReadingPace.java
@@ -0,0 +1,54 @@
+package org.jackdawbeam.logic.fleet;
+
+/**
+ * How fast the engines of a service read prompts, and how long prompts are, as requests have shown. Engines
+ * do not tell it, and it differs tenfold between deployments.
+ *
+ * @param tokensPerMilli prompt tokens that an engine reads in a millisecond beside its other work
+ * @param promptTokens typical length of a prompt
+ */
+public record ReadingPace(double tokensPerMilli, double promptTokens) {
+    private static final double FIRST_TOKENS_PER_MILLI = 20; // a large model on one accelerator of today
+    private static final double FIRST_PROMPT_TOKENS = 2_000; // a question with a page of context
+    private static final double SLOWEST = 1; // slower engines would not serve callers that wait
+    private static final double FASTEST = 200; // ten times the first guess; more is a cache that was not known of
+    /**
+     * Part of the answers that may show a slower pace. Below one half, because a cache that was not known of makes
+     * engines look faster than they are, and believing in a faster pace makes queues.
+     */
+    private static final double QUANTILE = 0.4;
+
+    private static final double STEP = 0.12; // some ten answers for a change by half
+    private static final long LEAST_TOKENS = 300; // shorter prompts tell more of decoding than of reading
+    private static final double PROMPT_WEIGHT = 0.1; // about the last ten prompts count
+
+    static ReadingPace unknown() {
+        return new ReadingPace(FIRST_TOKENS_PER_MILLI, FIRST_PROMPT_TOKENS);
+    }
+
+    /** Returns how long an engine needs to read the tokens. */
+    double readMillis(double tokens) {
+        return tokens / tokensPerMilli;
+    }
+
+    ReadingPace asked(long tokens) {
+        return tokens <= 0
+                ? this
+                : new ReadingPace(tokensPerMilli, promptTokens + PROMPT_WEIGHT * (tokens - promptTokens));
+    }
+
+    /**
+     * Returns the pace after an answer has begun.
+     *
+     * @param tokens prompt tokens that the engine had to read until then
+     * @param millis how long that took, without other work
+     */
+    ReadingPace observed(long tokens, double millis) {
+        if (tokens < LEAST_TOKENS) {
+            return this;
+        }
+        boolean faster = tokens > tokensPerMilli * Math.max(1, millis);
+        double factor = faster ? 1 + STEP * QUANTILE : 1 - STEP * (1 - QUANTILE);
+        return new ReadingPace(Math.clamp(tokensPerMilli * factor, SLOWEST, FASTEST), promptTokens);
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -16,15 +16,12 @@
  * would have more without it. A model gains a replica where that saves clearly more than the displaced one is worth.
  */
 final class ReplicaPlanner {
-    private static final double TOKENS_READ_PER_SECOND = 20_000; // prefill rate of an engine that also decodes
-    private static final double TOKENS_PER_REQUEST = 2_000; // typical prompt; turns tokens into requests
-    private static final double READ_SECONDS = TOKENS_PER_REQUEST / TOKENS_READ_PER_SECOND;
     private static final double HIGHEST_STABLE_LOAD = 0.95; // beyond that queues grow as long as the load lasts
-    private static final double SECONDS_PER_OVERLOAD = 10; // a queue in overload grows for about that long
-    private static final double RELOAD_SECONDS = 1; // a request for a model without a replica waits for a load
+    private static final double HORIZON_SECONDS = 10; // demand for a model, and a queue in overload, lasts about that
+    private static final double LEAST_USE = 0.1; // part of the horizon that even the longest load leaves
     private static final double DISPLACEMENT_FACTOR = 1.5; // keeps two models from displacing each other in turn
     private static final double MOVE_COST = 0.05; // a change occupies an engine and the weight store
-    private static final double STORE_LOAD_COST = 0.1; // a load from the weight store takes twice as long
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final double LOAD_WEIGHT = 0.2; // prefers the less loaded of otherwise equal engines
 
     /**
@@ -45,14 +42,6 @@
     /** Demand for a model, and how many requests wait for a replica. */
     record Need(double tokensPerSecond, int waiting) {
         private static final Need NONE = new Need(0, 0);
-
-        double requestsPerSecond() {
-            return tokensPerSecond / TOKENS_PER_REQUEST;
-        }
-
-        double load() {
-            return tokensPerSecond / TOKENS_READ_PER_SECOND;
-        }
     }
 
     /** A change of one engine. */
@@ -73,27 +62,38 @@
     private final List<Engine> engines;
     private final Map<String, Need> needs;
     private final boolean storeLoads;
+    private final ReadingPace pace;
     private final Map<String, Integer> replicas;
+    private final Map<String, Double> gains;
 
     /**
      * Prepares a plan.
      *
      * @param needs demand by model
      * @param storeLoads whether the weight store may be used now
+     * @param pace how fast engines read, and how long prompts are
      */
-    ReplicaPlanner(EngineDefinition definition, List<Engine> engines, Map<String, Need> needs, boolean storeLoads) {
+    ReplicaPlanner(
+            EngineDefinition definition,
+            List<Engine> engines,
+            Map<String, Need> needs,
+            boolean storeLoads,
+            ReadingPace pace) {
         this.definition = definition;
         this.engines = engines;
         this.needs = needs;
         this.storeLoads = storeLoads;
+        this.pace = pace;
         this.replicas = replicas(engines);
+        this.gains = new HashMap<>();
+        definition.models().keySet().forEach(model -> gains.put(model, gain(model)));
     }
 
     /** Returns the most useful change, if there is one. */
     Optional<Move> plan() {
         return definition.models().keySet().stream()
-                .filter(model -> gain(model) > MOVE_COST)
-                .sorted(Comparator.comparingDouble((String model) -> -gain(model))
+                .filter(model -> gains.get(model) > MOVE_COST)
+                .sorted(Comparator.comparingDouble((String model) -> -gains.get(model))
                         .thenComparing(Comparator.naturalOrder()))
                 .map(this::bestFor)
                 .flatMap(Optional::stream)
@@ -111,17 +111,31 @@
     }
 
     private Optional<Candidate> candidate(Engine engine, String model) {
-        double extra = LOAD_WEIGHT * load(engine) + (engine.atHand().contains(model) ? 0 : STORE_LOAD_COST);
+        double gain = gains.get(model) * use(engine, model);
+        double busy = LOAD_WEIGHT * load(engine);
         if (fits(definition, engine.models(), model)) {
-            return Optional.of(new Candidate(new Move.Load(engine.id(), model), gain(model) - extra));
+            return Optional.of(new Candidate(new Move.Load(engine.id(), model), gain - busy));
         }
         return engine.models().stream()
-                .filter(held -> loss(held) * DISPLACEMENT_FACTOR + MOVE_COST < gain(model))
-                .map(held -> new Candidate(
-                        new Move.Unload(engine.id(), held, model), gain(model) - loss(held) - extra - MOVE_COST))
+                .filter(held -> loss(held) * DISPLACEMENT_FACTOR + MOVE_COST < gain)
+                .map(held ->
+                        new Candidate(new Move.Unload(engine.id(), held, model), gain - loss(held) - busy - MOVE_COST))
                 .max(Comparator.comparingDouble(Candidate::benefit));
     }
 
+    /** Returns the part of the horizon in which a replica can be used after its load. */
+    private double use(Engine engine, String model) {
+        return Math.max(LEAST_USE, 1 - loadSeconds(model, engine.atHand().contains(model)) / HORIZON_SECONDS);
+    }
+
+    private double loadSeconds(String model, boolean atHand) {
+        ModelDefinition known = definition.models().get(model);
+        if (known == null) {
+            return HORIZON_SECONDS;
+        }
+        return (atHand ? known.diskMillis() : known.loadMillis()) / MILLIS_PER_SECOND;
+    }
+
     /** Returns whether a model fits beside others, with room for as many adapters as the engine may hold. */
     static boolean fits(EngineDefinition definition, Set<String> held, String model) {
         double weights = 0;
@@ -140,18 +154,26 @@
     /** Returns the part of an engine's time that its models take. */
     private double load(Engine engine) {
         return engine.models().stream()
-                .mapToDouble(model -> need(model).load() / Math.max(1, replicas.getOrDefault(model, 1)))
+                .mapToDouble(model -> load(need(model)) / Math.max(1, replicas.getOrDefault(model, 1)))
                 .sum();
     }
 
+    private double load(Need need) {
+        return pace.readMillis(need.tokensPerSecond()) / MILLIS_PER_SECOND;
+    }
+
+    private double requestsPerSecond(Need need) {
+        return need.tokensPerSecond() / pace.promptTokens();
+    }
+
     /** Returns the waiting seconds per second that one more replica saves. */
     private double gain(String model) {
         Need need = need(model);
         int held = replicas.getOrDefault(model, 0);
         if (held == 0) {
-            return need.requestsPerSecond() * RELOAD_SECONDS + need.waiting();
+            return withoutReplica(model) + need.waiting();
         }
-        return need.requestsPerSecond() * (waitSeconds(need, held) - waitSeconds(need, held + 1));
+        return requestsPerSecond(need) * (waitSeconds(need, held) - waitSeconds(need, held + 1));
     }
 
     /** Returns the waiting seconds per second that one replica less costs. */
@@ -159,17 +181,26 @@
         Need need = need(model);
         int held = replicas.getOrDefault(model, 1);
         if (held <= 1) {
-            return need.requestsPerSecond() * RELOAD_SECONDS;
+            return withoutReplica(model);
         }
-        return need.requestsPerSecond() * (waitSeconds(need, held - 1) - waitSeconds(need, held));
+        return requestsPerSecond(need) * (waitSeconds(need, held - 1) - waitSeconds(need, held));
+    }
+
+    /**
+     * Returns the waiting seconds per second while no engine holds the model: each request waits for a load. The same
+     * for a model that comes and one that goes, or two models of equal demand would displace each other in turn.
+     */
+    private double withoutReplica(String model) {
+        return requestsPerSecond(need(model)) * loadSeconds(model, true);
     }
 
     /** Returns the mean waiting time at replicas that share a load evenly. */
-    private static double waitSeconds(Need need, int replicas) {
-        double load = need.load() / replicas;
+    private double waitSeconds(Need need, int held) {
+        double load = load(need) / held;
         double stable = Math.min(load, HIGHEST_STABLE_LOAD);
         double overload = Math.max(0, load - HIGHEST_STABLE_LOAD);
-        return READ_SECONDS * stable / (1 - stable) + SECONDS_PER_OVERLOAD * overload;
+        double readSeconds = pace.readMillis(pace.promptTokens()) / MILLIS_PER_SECOND;
+        return readSeconds * stable / (1 - stable) + HORIZON_SECONDS * overload;
     }
 
     private Need need(String model) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -10,8 +10,6 @@
 
 /** Chooses the target from which the first byte of an answer is expected soonest. */
 final class TargetChooser {
-    private static final double TOKENS_READ_PER_MILLI =
-            20; // the stated prefill rate of the engines in use, less time for decoding
     private static final double STEP_MILLIS = 10; // one decoding step delays the first token of a new request
     private static final double BATCH_MILLIS_PER_REQUEST = 0.5; // decoding work that each running request adds
     private static final double SERVICE_CALL_MILLIS = 80; // typical work of a call to a plain service
@@ -27,10 +25,11 @@
      * A target and what is expected of it.
      *
      * @param unreadTokens prompt tokens that it has to read
+     * @param aheadTokens prompt tokens of other requests that it has to read before
      * @param estimateMillis expected time to the first byte
      * @param penaltyMillis how much longer than that another target may take and still be preferred
      */
-    record Choice(FleetTarget target, long unreadTokens, long estimateMillis, long penaltyMillis) {
+    record Choice(FleetTarget target, long unreadTokens, long aheadTokens, long estimateMillis, long penaltyMillis) {
         private long rank() {
             return estimateMillis + penaltyMillis;
         }
@@ -66,10 +65,9 @@
             running += Math.max(0, told.running() - target.outstanding().size());
         }
         long unread = engine ? unreadTokens(request, target) : 0;
+        long ahead = engine ? target.unreadTokens() + peersUnread : 0;
         double millis = engine
-                ? (unread + target.unreadTokens() + peersUnread) / TOKENS_READ_PER_MILLI
-                        + STEP_MILLIS
-                        + running * BATCH_MILLIS_PER_REQUEST
+                ? state.pace(request.service()).readMillis(unread + ahead) + decodingMillis(running)
                 : serviceMillis(target, running);
         millis += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
         millis += overdueMillis(target, nowMillis);
@@ -78,7 +76,12 @@
         // Failures make others better, not the queue longer: without requests the share would never fall again.
         double penalty = target.health().failureShare() * FAILURE_MILLIS;
         penalty += avoided || request.tried().contains(id) ? AVOIDED_MILLIS : 0;
-        return new Choice(target, unread, Math.round(millis), Math.round(penalty));
+        return new Choice(target, unread, ahead, Math.round(millis), Math.round(penalty));
+    }
+
+    /** Returns how long the first token of a request waits for the tokens of those that run beside it. */
+    static double decodingMillis(int running) {
+        return STEP_MILLIS + running * BATCH_MILLIS_PER_REQUEST;
     }
 
     /** Returns the identifiers under which the leading parts of a prompt are remembered. */
@@ -106,7 +109,8 @@
         double ownTokensPerSecond =
                 state.demand().at(nowMillis).getOrDefault(new DemandKey(request.service(), model.get()).text(), 0.0);
         double tokens = ownTokensPerSecond * state.memberCount() / replicas * SUM_AGE_SECONDS;
-        return Math.min(LARGEST_SPREAD_MILLIS, Math.round(tokens / TOKENS_READ_PER_MILLI));
+        return Math.min(
+                LARGEST_SPREAD_MILLIS, Math.round(state.pace(request.service()).readMillis(tokens)));
     }
 
     private static long jitter(FleetRequest request, Choice choice, long spreadMillis) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/ModelDefinition.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/ModelDefinition.java
@@ -5,6 +5,14 @@
  *
  * @param weightMegabytes size of the weights
  * @param loadMillis time of a load from the weight store
+ * @param diskMillis time of a load from a copy on the engine's disk
+ * @param memoryMillis time of a load from a copy in the engine's host memory
  * @param adapterMegabytes size of one adapter
  */
-public record ModelDefinition(String name, double weightMegabytes, long loadMillis, double adapterMegabytes) {}
+public record ModelDefinition(
+        String name,
+        double weightMegabytes,
+        long loadMillis,
+        long diskMillis,
+        long memoryMillis,
+        double adapterMegabytes) {}
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -52,11 +52,20 @@
     }
 
     static FleetConfiguration configuration(long version, String... keys) {
-        Workspace workspace = new Workspace("w", Set.of(keys), OptionalInt.empty(), 1_000, 1_000, true, 200);
+        return configuration(version, 1_000, keys);
+    }
+
+    /** Returns a configuration whose workspace is never over its rate. */
+    static FleetConfiguration generousConfiguration(long version) {
+        return configuration(version, 100_000_000, KEY);
+    }
+
+    private static FleetConfiguration configuration(long version, double rate, String... keys) {
+        Workspace workspace = new Workspace("w", Set.of(keys), OptionalInt.empty(), rate, rate, true, 200);
         Map<String, ModelDefinition> models = Map.of(
-                "m1", new ModelDefinition("m1", 70_000, 1_200, 60),
-                "m2", new ModelDefinition("m2", 70_000, 1_200, 60),
-                "m3", new ModelDefinition("m3", 70_000, 1_200, 60));
+                "m1", new ModelDefinition("m1", 70_000, 1_200, 600, 400, 60),
+                "m2", new ModelDefinition("m2", 70_000, 1_200, 600, 400, 60),
+                "m3", new ModelDefinition("m3", 70_000, 1_200, 600, 400, 60));
         EngineDefinition engine = new EngineDefinition(64, 160_000, 200_000, 2, 2.4, models);
         return FleetConfiguration.of(
                 version,
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReadingPaceTest.java
@@ -0,0 +1,89 @@
+package org.jackdawbeam.logic.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.Optional;
+import java.util.Random;
+import org.jackdawbeam.model.request.AttemptId;
+import org.junit.jupiter.api.Test;
+
+class ReadingPaceTest {
+    private static final long PROMPT = 9_000;
+
+    private static ReadingPace after(int answers, double tokensPerMilli, double cachedShare) {
+        Random random = new Random(1);
+        ReadingPace pace = ReadingPace.unknown();
+        for (int answer = 0; answer < answers; answer++) {
+            double read = random.nextDouble() < cachedShare ? PROMPT / 4.0 : PROMPT;
+            pace = pace.observed(PROMPT, read / tokensPerMilli * (0.8 + 0.4 * random.nextDouble()));
+        }
+        return pace;
+    }
+
+    @Test
+    void fastEnginesAreKnownAfterSomeTwentyAnswers() {
+        assertThat(after(20, 38, 0).tokensPerMilli()).isBetween(28.0, 48.0);
+    }
+
+    @Test
+    void slowEnginesAreKnownAfterSomeFortyAnswers() {
+        assertThat(after(40, 4, 0).tokensPerMilli()).isBetween(2.5, 6.0);
+    }
+
+    @Test
+    void cachesThatWereNotKnownOfDoNotMakeEnginesLookMuchFaster() {
+        assertThat(after(200, 20, 0.3).tokensPerMilli()).isLessThan(30);
+    }
+
+    @Test
+    void paceStaysWithinBoundsWhateverIsObserved() {
+        ReadingPace fast = ReadingPace.unknown();
+        ReadingPace slow = ReadingPace.unknown();
+        for (int answer = 0; answer < 1_000; answer++) {
+            fast = fast.observed(Long.MAX_VALUE, -1e9);
+            slow = slow.observed(PROMPT, 1e12);
+        }
+
+        assertThat(fast.tokensPerMilli()).isFinite().isPositive();
+        assertThat(slow.tokensPerMilli()).isPositive();
+    }
+
+    @Test
+    void shortPromptsTellNothing() {
+        assertThat(ReadingPace.unknown().observed(100, 1_000)).isEqualTo(ReadingPace.unknown());
+    }
+
+    @Test
+    void typicalLengthFollowsWhatIsAsked() {
+        ReadingPace pace = ReadingPace.unknown();
+        for (int request = 0; request < 60; request++) {
+            pace = pace.asked(PROMPT);
+        }
+
+        assertThat(pace.promptTokens()).isCloseTo(PROMPT, within(100.0));
+    }
+
+    /** Load pattern: long prompts in a burst at engines that read twice as fast as the first guess. */
+    @Test
+    void burstOfLongPromptsIsServedByEnginesThatHaveShownToReadFast() {
+        FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        fixture.configure(FleetFixture.generousConfiguration(2));
+        for (int answer = 0; answer < 30; answer++) {
+            fixture.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.empty(), PROMPT);
+            AttemptId attempt = fixture.only(FleetEffect.StartAttempt.class).attempt();
+            fixture.advanceInContact(250);
+            fixture.answer(attempt, 200, false);
+            fixture.apply(new FleetEvent.AttemptStreaming(fixture.nowMillis, attempt));
+            fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt));
+        }
+
+        int served = 0;
+        for (int request = 0; request < 2; request++) {
+            fixture.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.empty(), PROMPT);
+            served += fixture.all(FleetEffect.StartAttempt.class).size();
+        }
+
+        assertThat(served).isEqualTo(2);
+    }
+}
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
@@ -24,7 +24,7 @@
     private static EngineDefinition definition(int models) {
         Map<String, ModelDefinition> byName = new HashMap<>();
         for (int number = 0; number < models; number++) {
-            byName.put("m" + number, new ModelDefinition("m" + number, 72_700, 1_200, 66));
+            byName.put("m" + number, new ModelDefinition("m" + number, 72_700, 1_200, 600, 400, 66));
         }
         return new EngineDefinition(64, 150_000, 200_000, 5, 2.1, byName);
     }
@@ -38,7 +38,7 @@
     }
 
     private static Optional<Move> plan(EngineDefinition definition, List<Engine> engines, Map<String, Need> needs) {
-        return new ReplicaPlanner(definition, engines, needs, true).plan();
+        return new ReplicaPlanner(definition, engines, needs, true, ReadingPace.unknown()).plan();
     }
 
     /** Carries out moves, each at once, until there are none; fails if they do not end. */
@@ -147,7 +147,11 @@
     void exhaustedWeightStoreLeavesLoadsThatAreAtHand() {
         Engine withCopy = new Engine("e1", Set.of(), true, Optional.empty(), Set.of("m0"));
         ReplicaPlanner planner = new ReplicaPlanner(
-                definition(2), List.of(engine(0), withCopy), Map.of("m0", need(HOT), "m1", need(HOT)), false);
+                definition(2),
+                List.of(engine(0), withCopy),
+                Map.of("m0", need(HOT), "m1", need(HOT)),
+                false,
+                ReadingPace.unknown());
 
         assertThat(planner.plan()).contains(new Move.Load("e1", "m0"));
     }
@@ -159,4 +163,40 @@
         assertThat(plan(definition(2), List.of(occupied), Map.of("m0", need(HOT))))
                 .isEmpty();
     }
+
+    /** A hot model on one of two engines; the other holds what nobody asks for. */
+    private static Optional<Move> planForHotModel(long loadMillis, ReadingPace pace, double load) {
+        Map<String, ModelDefinition> models = new HashMap<>();
+        for (String name : List.of("m0", "m1")) {
+            models.put(name, new ModelDefinition(name, 72_700, loadMillis, loadMillis / 3, loadMillis / 6, 66));
+        }
+        EngineDefinition definition = new EngineDefinition(64, 150_000, 200_000, 5, 2.1, models);
+        Map<String, Need> needs = Map.of("m0", need(load * pace.tokensPerMilli() * 1_000));
+        List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m1"));
+        return new ReplicaPlanner(definition, engines, needs, true, pace).plan();
+    }
+
+    @Test
+    void sameLoadAsksForTheSameReplicasOnDeploymentsThatDifferTenfold() {
+        for (ReadingPace pace :
+                List.of(new ReadingPace(6, 400), new ReadingPace(20, 2_000), new ReadingPace(60, 12_000))) {
+            for (long loadMillis : List.of(600L, 2_000L, 6_000L)) {
+                String deployment = pace + ", load " + loadMillis;
+                assertThat(planForHotModel(loadMillis, pace, 0.9))
+                        .as(deployment)
+                        .contains(new Move.Load("e1", "m0"));
+                assertThat(planForHotModel(loadMillis, pace, 0.1))
+                        .as(deployment)
+                        .isEmpty();
+            }
+        }
+    }
+
+    @Test
+    void copyAtHandIsPreferredTheMoreTheLongerALoadFromTheStoreTakes() {
+        Engine withCopy = new Engine("e1", Set.of("m1"), true, Optional.empty(), Set.of("m0"));
+        List<Engine> engines = List.of(engine(0, "m0"), withCopy, engine(2));
+
+        assertThat(plan(definition(2), engines, Map.of("m0", need(HOT)))).contains(new Move.Load("e1", "m0"));
+    }
 }
