The class cache is trained on the path of requests, orders, a large fleet and a stop

Cause: bin/build-deployment trained an idle entry, so that classes and lambdas of the request path were loaded and linked in each process at its first requests. Change: bin/train-entry runs the entry against the stand-ins: all kinds of request, refusals, orders, peers, then members that never answer so that it acts as in a large fleet, then a planned stop under load. fleet-sample asks all entries, in rounds. Picocli's classes are too old for such a cache (JDK 5 format); an AOT cache could hold them, which is left to be tried.

--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetCommand.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetCommand.java
@@ -26,6 +26,22 @@
     @Option(names = "--settings-folder", required = true, description = "Where settings files go.")
     private Path folder;
 
+    @Option(
+            names = "--silent-members",
+            defaultValue = "0",
+            description = "Members to announce that never answer, so that entries act as in a large fleet"
+                    + " (${DEFAULT-VALUE}).")
+    private int silentMembers;
+
+    @Option(names = "--members-topic", defaultValue = "", description = "Topic in which entries announce themselves.")
+    private String membersTopic;
+
+    @Option(
+            names = "--silent-members-after",
+            defaultValue = "0",
+            description = "Seconds until they are announced (${DEFAULT-VALUE}).")
+    private int silentMembersAfterSeconds;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         try (FleetSite site = new FleetSite(storePort)) {
@@ -33,6 +49,9 @@
                 int port = storePort + PORTS_PER_ENTRY * number;
                 Files.writeString(folder.resolve("entry-" + number + ".toml"), site.settings("entry-" + number, port));
             }
+            if (silentMembers > 0) {
+                site.announceSilentMembers(silentMembers, membersTopic, silentMembersAfterSeconds);
+            }
             Logger.info("event=fleet_started store=127.0.0.1:{} entries={}", site.storePort(), entries);
             StandInServer.awaitStop();
         }
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSampleCommand.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSampleCommand.java
@@ -6,22 +6,29 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.Callable;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** Asks an entry for addresses and sends one request of each kind. */
+/** Asks an entry for addresses and sends requests of each kind to all of them. */
 @Command(
         name = "fleet-sample",
         mixinStandardHelpOptions = true,
-        description = "Sends sample requests to entries on the platform's wire; exits with 1 if any fails.")
+        description = "Sends sample requests to all entries on the platform's wire; exits with 1 if any fails.")
 public final class FleetSampleCommand implements Callable<Integer> {
     private static final Duration TIMEOUT = Duration.ofSeconds(6);
+    private static final Pattern ADDRESS = Pattern.compile("[0-9]+(\\.[0-9]+){3}:[0-9]+");
 
     @Option(names = "--directory", required = true, description = "IP:port of an entry's directory.")
     private String directory;
 
+    @Option(names = "--rounds", defaultValue = "1", description = "How often each entry is asked (${DEFAULT-VALUE}).")
+    private int rounds;
+
     private final HttpClient client = HttpClient.newHttpClient();
     private int failures;
 
@@ -36,7 +43,20 @@
                         .build(),
                 HttpResponse.BodyHandlers.ofString());
         System.out.println("resolve: " + resolved.body());
-        String address = resolved.body().replaceAll(".*\\[\"([0-9.:]+)\".*", "$1");
+        List<String> addresses = ADDRESS.matcher(resolved.body())
+                .results()
+                .map(MatchResult::group)
+                .toList();
+        for (int round = 0; round < rounds; round++) {
+            for (String address : addresses) {
+                sendEachKind(address);
+            }
+        }
+        failures += addresses.isEmpty() ? 1 : 0;
+        return failures == 0 ? 0 : 1;
+    }
+
+    private void sendEachKind(String address) throws IOException, InterruptedException {
         send(address, new Sample("stream", "/chat/1", FleetSite.KEY, "small", 200, "token 6"));
         send(address, new Sample("stream with an adapter", "/chat/2", FleetSite.KEY, "large/a1", 200, "token 6"));
         send(address, new Sample("model that must be loaded", "/letter/3", FleetSite.KEY, "rare", 200, "token 6"));
@@ -44,7 +64,6 @@
         send(address, new Sample("read", "/read/5", FleetSite.KEY, "", 200, "done"));
         send(address, new Sample("unknown key", "/pay/6", "wrong", "", 401, ""));
         send(address, new Sample("unknown route", "/nowhere/7", FleetSite.KEY, "", 404, ""));
-        return failures == 0 ? 0 : 1;
     }
 
     private void send(String address, Sample sample) throws IOException, InterruptedException {
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.net.codec.MessageMapper;
 import org.jackdawbeam.net.http.HttpExchange;
 import org.jackdawbeam.standin.StandInServer;
 
@@ -27,6 +29,7 @@
     private static final String SERVERS_TOPIC = "keyed.servers";
     private static final byte[] NO_VALUE = new byte[0];
     private static final String LOOPBACK = "127.0.0.1";
+    private static final String NOWHERE = "127.0.0.1:1"; // a port that nothing listens on
     private static final long LIST_MILLIS = 250;
     private static final long EXPIRY_MILLIS = 3 * LIST_MILLIS; // the store drops an entry after three intervals
     private static final int THREADS = 2;
@@ -129,6 +132,22 @@
         store.put(OPERATOR_TOPIC, "config", configuration(version, keys).getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Announces members that never answer after some seconds, so that entries act as in a large fleet. */
+    void announceSilentMembers(int count, String topic, int afterSeconds) {
+        storeServer
+                .group()
+                .schedule(
+                        () -> {
+                            for (int number = 0; number < count; number++) {
+                                String id = "silent-" + number;
+                                FleetMember member = new FleetMember(id, id + "/1", "zone-2", NOWHERE, NOWHERE, 1);
+                                store.put(topic, id, MessageMapper.json().write(member));
+                            }
+                        },
+                        afterSeconds,
+                        TimeUnit.SECONDS);
+    }
+
     /** Returns the settings of an entry with ports from the given one on. */
     public String settings(String name, int port) {
         return settings(name, port, LOOPBACK + ":" + storePort());
