Failures stay where they happen; late permissions, second copies and answers without end are dropped

What went wrong at operators of similar systems, looked for here: - Unexpected error: an effect that could not be run (an address of the list that is none) kept all later effects of its event from running, so that reads of the store never began again; an Error stopped the ticks for good. Now each effect fails alone and ends for the reducer. The lease, the freshness of the configuration and the caller's time are now checked again at the moment of sending. Engines get a connection for each call; idle ones are guarded; a connection on which an answer to another request came is not used again. Out of memory ends the process.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -103,11 +103,24 @@
         String id = ((FleetPhase.Running) found.get().phase()).target();
         boolean connection =
                 event.failure() == AttemptFailure.CONNECT_FAILED || event.failure() == AttemptFailure.CONNECTION_LOST;
+        if (event.failure() == AttemptFailure.PERMISSION_ENDED) {
+            return decideAnew(state, found.get(), event.nowMillis(), effects);
+        }
         FleetState judged = withTarget(
                 state, id, target -> connection ? target.unreachable(event.nowMillis()) : target.answeredWithError());
         return again(judged, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
     }
 
+    /** Nothing was sent, and the target is not to blame: the request is judged by what is known now. */
+    private FleetState decideAnew(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
+        FleetState released = DispatchFlow.withoutOutstanding(state, (FleetPhase.Running) request.phase());
+        if (nowMillis >= request.expiresAtMillis()) {
+            String reason = "time was over before a connection stood";
+            return dispatch.refuseUnserved(released, request, RefusalCode.NO_CAPACITY, reason, nowMillis, effects);
+        }
+        return dispatch.dispatch(released, request, nowMillis, effects);
+    }
+
     /** Work that may run again, and streams, are cancelled; a call that must run at most once runs to its end. */
     FleetState onCallerLeft(FleetState state, FleetEvent.CallerLeft event, List<FleetEffect> effects) {
         FleetRequest request = state.requests().get(event.requestId());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
@@ -24,7 +24,8 @@
                 model,
                 adapter,
                 duty.orderCount().orElseThrow(),
-                state.leadership().fencingToken().orElseThrow());
+                state.leadership().fencingToken().orElseThrow(),
+                LeadershipFlow.leaseEndMillis(state));
         effects.add(new FleetEffect.SendOrder(order));
         return state.with(state.placement().with(target.description().id(), duty.ordered(order)));
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FeedEntry;
@@ -74,8 +75,14 @@
 
     /** Returns whether requests with a key may be served: whether a withdrawal would have been seen in time. */
     static boolean knowsWithdrawals(FleetState state, long nowMillis) {
+        return nowMillis < withdrawalsKnownUntilMillis(state);
+    }
+
+    /** Returns until when a withdrawal would have been seen in time, by what has been read so far. */
+    static long withdrawalsKnownUntilMillis(FleetState state) {
         long limit = state.bounds().revokeMillis() - FleetTimings.REVOKE_MARGIN;
-        return state.feed(Feed.CONFIGURATION).isFresh(nowMillis, limit);
+        OptionalLong fresh = state.feed(Feed.CONFIGURATION).freshAtMillis();
+        return fresh.isPresent() ? fresh.getAsLong() + limit : Long.MIN_VALUE;
     }
 
     private static FleetState announce(FleetState state, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -41,7 +41,8 @@
     /**
      * Sends a request to a target.
      *
-     * @param deadlineMillis time that is left
+     * @param expiresAtMillis when the caller's time is over
+     * @param sendUntilMillis when the permission to send ends, because a withdrawn key would not have been seen
      * @param workspace name of the workspace, which the target is told
      * @param priority rank at the target
      * @param resumable whether only whole events may be passed on
@@ -51,7 +52,8 @@
             AttemptId attempt,
             String callerRequestId,
             TargetDescription target,
-            long deadlineMillis,
+            long expiresAtMillis,
+            long sendUntilMillis,
             Optional<String> workspace,
             int priority,
             boolean resumable,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -121,6 +121,11 @@
         return state.leadership().holds(nowMillis, LEASE_MILLIS);
     }
 
+    /** Returns when the lease of this entry ends unless it is renewed. */
+    static long leaseEndMillis(FleetState state) {
+        return state.leadership().renewedAtMillis() + LEASE_MILLIS;
+    }
+
     static Optional<LeadershipClaim> claim(FleetState state, long nowMillis) {
         return holds(state, nowMillis)
                 ? Optional.of(new LeadershipClaim(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/EngineOrder.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/EngineOrder.java
@@ -8,6 +8,7 @@
  *
  * @param expectedCount the engine carries out the order only if it has accepted this many before
  * @param fencingToken grows with each holder of the placement duty
+ * @param sendUntilMillis by the sender's clock; later another entry may hold the duty, and the order must not leave
  */
 public record EngineOrder(
         String target,
@@ -16,4 +17,5 @@
         String model,
         Optional<String> adapter,
         long expectedCount,
-        long fencingToken) {}
+        long fencingToken,
+        long sendUntilMillis) {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
@@ -13,5 +13,7 @@
     /** The connection ended before the answer was complete. */
     CONNECTION_LOST,
     /** The answer violates the protocol. */
-    MALFORMED_ANSWER
+    MALFORMED_ANSWER,
+    /** The permission to send ended before a connection stood; nothing was sent. */
+    PERMISSION_ENDED
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,6 +22,7 @@
 import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
 import org.jackdawbeam.logic.fleet.FleetEvent;
 import org.jackdawbeam.model.request.AttemptFailure;
+import org.jackdawbeam.net.target.AnswerHeadLimit;
 import org.jackdawbeam.net.target.TargetAddress;
 import org.jackdawbeam.net.target.TargetConnections;
 
@@ -44,6 +46,7 @@
     private boolean written;
     private boolean requestFlushed;
     private boolean ended;
+    private boolean sawForeignAnswer;
 
     AttemptRelay(
             StartAttempt start,
@@ -97,9 +100,16 @@
         }
         channel = opened;
         Channel open = opened.get();
+        long nowMillis = loop.nowMillis();
+        if (nowMillis >= start.sendUntilMillis() || nowMillis >= start.expiresAtMillis()) {
+            // The connection took long, or the process was paused: what was decided then may not hold any more.
+            fail(AttemptFailure.PERMISSION_ENDED);
+            return;
+        }
         open.pipeline().addLast(this);
         byte[] body = request.exchange().body();
-        HttpHeaders headers = dialect.requestHeaders(request.exchange().headers(), start, request.lastEventId());
+        HttpHeaders headers = dialect.requestHeaders(
+                request.exchange().headers(), start, start.expiresAtMillis() - nowMillis, request.lastEventId());
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (body.length > 0 || request.exchange().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -136,8 +146,10 @@
         AnswerHead head = dialect.read(response, start.callerRequestId());
         skipping = head.foreign() || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (skipping) {
+            sawForeignAnswer |= head.foreign();
             return;
         }
+        channel.ifPresent(AnswerHeadLimit::answerBegun);
         status = response.status().code();
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && !head.sealed()) {
@@ -173,6 +185,11 @@
             loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
         }
         ByteBuf part = events.map(splitter -> splitter.add(bytes)).orElseGet(bytes::retain);
+        if (events.map(EventIds::isTooLong).orElse(false)) {
+            part.release();
+            fail(AttemptFailure.MALFORMED_ANSWER);
+            return;
+        }
         if (!part.isReadable()) {
             part.release();
             return;
@@ -195,7 +212,7 @@
         request.exchange().endStream();
         context.channel().config().setAutoRead(true);
         context.pipeline().remove(this);
-        if (requestFlushed) {
+        if (requestFlushed && !sawForeignAnswer) {
             connections.release(address, context.channel(), idleMillis);
         } else {
             context.close();
@@ -212,7 +229,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(AttemptFailure.CONNECTION_LOST);
+        boolean tooLong = cause instanceof TooLongFrameException;
+        fail(tooLong ? AttemptFailure.MALFORMED_ANSWER : AttemptFailure.CONNECTION_LOST);
     }
 
     private void fail(AttemptFailure failure) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EventIds.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EventIds.java
@@ -8,6 +8,7 @@
 /** Cuts an event stream into whole events and remembers the id of the last one. */
 final class EventIds implements AutoCloseable {
     private static final String ID_FIELD = "id:";
+    private static final int MAXIMUM_EVENT_BYTES = 256 * 1024; // an event holds a few tokens
 
     private final ByteBuf pending;
     private Optional<String> lastId;
@@ -37,6 +38,11 @@
         return pending.isReadable();
     }
 
+    /** Returns whether more bytes have come without the end of an event than any event has. */
+    boolean isTooLong() {
+        return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+    }
+
     @Override
     public void close() {
         pending.release();
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FailedEffects.java
@@ -0,0 +1,32 @@
+package org.jackdawbeam.net.fleet;
+
+import java.util.Optional;
+import org.jackdawbeam.logic.fleet.FleetEffect;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.model.fleet.OrderResponse;
+import org.jackdawbeam.model.request.AttemptFailure;
+
+/** Tells the reducer how an effect has ended that could not be run; without an end it would wait for ever. */
+final class FailedEffects {
+    private FailedEffects() {}
+
+    /** Returns the event that ends the effect, if any is awaited. What may have been sent counts as sent. */
+    static Optional<FleetEvent> outcome(FleetEffect effect, long nowMillis) {
+        return switch (effect) {
+            case FleetEffect.ReadFeed read -> Optional.of(new FleetEvent.FeedFailed(nowMillis, read.feed(), false));
+            case FleetEffect.Announce announce -> Optional.of(new FleetEvent.AnnouncementEnded(nowMillis, false));
+            case FleetEffect.AppendLeadership append ->
+                Optional.of(
+                        new FleetEvent.LeadershipAppended(nowMillis, nowMillis, new FleetEvent.AppendResult.Unknown()));
+            case FleetEffect.ReadLeadership read -> Optional.of(new FleetEvent.LeadershipUnreadable(nowMillis));
+            case FleetEffect.StartAttempt start ->
+                Optional.of(
+                        new FleetEvent.AttemptFailed(nowMillis, start.attempt(), AttemptFailure.CONNECT_FAILED, true));
+            case FleetEffect.SendOrder send ->
+                Optional.of(new FleetEvent.OrderAnswered(nowMillis, send.order(), OrderResponse.UNKNOWN));
+            case FleetEffect.ReadReport read ->
+                Optional.of(new FleetEvent.ReportRead(nowMillis, read.target(), Optional.empty()));
+            default -> Optional.empty();
+        };
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -33,7 +33,7 @@
                         start.attempt().requestId(),
                         start.attempt().number(),
                         start.target().id(),
-                        start.deadlineMillis(),
+                        start.expiresAtMillis() - cause.nowMillis(),
                         start.estimateMillis(),
                         start.priority(),
                         start.workspace().orElse("-"),
@@ -75,7 +75,7 @@
     }
 
     @Override
-    public void onFailure(FleetEvent event, RuntimeException failure) {
+    public void onFailure(FleetEvent event, Throwable failure) {
         Logger.error(
                 failure, "event=internal_failure while={}", event.getClass().getSimpleName());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -15,6 +15,9 @@
 /**
  * Applies events to the reducer, one at a time on the thread of the connections, and runs the effects in order. An
  * event that is submitted while another is applied follows after it.
+ *
+ * <p>Errors are caught too: without the ticks the process would live on and do nothing. The one that must end it, lack of
+ * memory, is left to an option of the runtime.
  */
 public final class FleetLoop {
     private static final long TICK_MILLIS = 50; // a fifth of the shortest time limit that depends on it
@@ -79,17 +82,39 @@
         thread.schedule(() -> submit(new FleetEvent.Woken(nowMillis())), delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** A failure concerns its event or effect only: the loop goes on, and what was awaited ends as failed. */
     private void apply(FleetEvent event) {
+        Reduction reduction;
+        try {
+            reduction = reducer.apply(state, event);
+        } catch (RuntimeException | Error e) {
+            failed(event, e);
+            return;
+        }
+        state = reduction.state();
+        reduction.effects().forEach(effect -> run(event, effect));
         try {
-            Reduction reduction = reducer.apply(state, event);
-            state = reduction.state();
-            for (FleetEffect effect : reduction.effects()) {
-                observer.onEffect(state, event, effect);
-                runner.accept(effect);
-            }
             observer.onEvent(state, event);
-        } catch (RuntimeException e) {
-            observer.onFailure(event, e);
+        } catch (RuntimeException | Error e) {
+            failed(event, e);
+        }
+    }
+
+    private void run(FleetEvent event, FleetEffect effect) {
+        try {
+            observer.onEffect(state, event, effect);
+            runner.accept(effect);
+        } catch (RuntimeException | Error e) {
+            failed(event, e);
+            FailedEffects.outcome(effect, nowMillis()).ifPresent(pending::add);
+        }
+    }
+
+    private void failed(FleetEvent event, Throwable failure) {
+        try {
+            observer.onFailure(event, failure);
+        } catch (RuntimeException | Error e) {
+            // The log itself has failed; there is nothing left to tell.
         }
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -119,7 +119,7 @@
     }
 
     @Override
-    public void onFailure(FleetEvent event, RuntimeException failure) {
+    public void onFailure(FleetEvent event, Throwable failure) {
         attempts.labelValues("INTERNAL_FAILURE").inc();
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetObserver.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetObserver.java
@@ -14,5 +14,5 @@
     void onEffect(FleetState state, FleetEvent cause, FleetEffect effect);
 
     /** An event could not be applied, or one of its effects could not be run. */
-    void onFailure(FleetEvent event, RuntimeException failure);
+    void onFailure(FleetEvent event, Throwable failure);
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetObservers.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetObservers.java
@@ -24,7 +24,7 @@
     }
 
     @Override
-    public void onFailure(FleetEvent event, RuntimeException failure) {
+    public void onFailure(FleetEvent event, Throwable failure) {
         observers.forEach(observer -> observer.onFailure(event, failure));
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/TargetDialect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/TargetDialect.java
@@ -12,9 +12,11 @@
      * Returns the headers of a request to a target.
      *
      * @param callerHeaders what the caller sent
+     * @param leftMillis time that the caller will still wait
      * @param resumeAfter id of the last event that the caller has received
      */
-    HttpHeaders requestHeaders(HttpHeaders callerHeaders, StartAttempt attempt, Optional<String> resumeAfter);
+    HttpHeaders requestHeaders(
+            HttpHeaders callerHeaders, StartAttempt attempt, long leftMillis, Optional<String> resumeAfter);
 
     /** Reads the head of an answer. */
     AnswerHead read(HttpResponse response, String callerRequestId);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpCaller.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpCaller.java
@@ -27,23 +27,42 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
 
 /**
  * Sends small requests and receives whole answers, for control traffic. Connections are reused after a clean end and
- * closed after any failure, so that a connection that went silent is used only once.
+ * closed after any failure, so that a connection that went silent is used only once. Bytes that arrive while a connection
+ * is idle belong to no request, and close it.
  */
 public final class HttpCaller {
-    private static final int MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+    private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024; // four times the largest configuration
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int MAXIMUM_IDLE = 4;
+    private static final String IDLE_GUARD = "idle-guard";
 
     private final EventLoopGroup group;
+    private final int maximumIdle;
+    private final int maximumAnswerBytes;
     private final Map<InetSocketAddress, Deque<Channel>> idle = new ConcurrentHashMap<>();
 
     public HttpCaller(EventLoopGroup group) {
+        this(group, MAXIMUM_IDLE, MAXIMUM_ANSWER_BYTES);
+    }
+
+    private HttpCaller(EventLoopGroup group, int maximumIdle, int maximumAnswerBytes) {
         this.group = group;
+        this.maximumIdle = maximumIdle;
+        this.maximumAnswerBytes = maximumAnswerBytes;
+    }
+
+    /**
+     * Returns a caller that opens a connection for each request. For servers whose answers cannot be told apart and that
+     * may send a second copy of one: it must not be taken for the answer to the next request.
+     */
+    public static HttpCaller withFreshConnections(EventLoopGroup group, int maximumAnswerBytes) {
+        return new HttpCaller(group, 0, maximumAnswerBytes);
     }
 
     /**
@@ -59,6 +78,21 @@
             Map<String, String> headers,
             byte[] body,
             long timeoutMillis) {
+        return send(address, method, uri, headers, body, timeoutMillis, () -> true);
+    }
+
+    /**
+     * Sends a request if that is still permitted when a connection stands, which may be much later than the call. The
+     * future fails with {@link ErrorCode#NOT_PERMITTED} otherwise, and no byte is sent.
+     */
+    public CompletableFuture<HttpAnswer> send(
+            InetSocketAddress address,
+            String method,
+            String uri,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMillis,
+            BooleanSupplier permitted) {
         CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
@@ -67,13 +101,13 @@
         HttpUtil.setContentLength(request, body.length);
         Channel pooled = takeIdle(address);
         if (pooled != null) {
-            exchange(pooled, address, request, answer, timeoutMillis);
+            exchange(pooled, address, request, answer, timeoutMillis, permitted);
             return answer;
         }
         connect(address).addListener(done -> {
             ChannelFuture connected = (ChannelFuture) done;
             if (connected.isSuccess()) {
-                exchange(connected.channel(), address, request, answer, timeoutMillis);
+                exchange(connected.channel(), address, request, answer, timeoutMillis, permitted);
             } else {
                 request.release();
                 answer.completeExceptionally(failure(ErrorCode.CONNECTION_FAILED, address));
@@ -93,7 +127,7 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(MAXIMUM_ANSWER_BYTES));
+                                .addLast(new HttpObjectAggregator(maximumAnswerBytes));
                     }
                 })
                 .connect(address);
@@ -104,8 +138,18 @@
             InetSocketAddress address,
             DefaultFullHttpRequest request,
             CompletableFuture<HttpAnswer> answer,
-            long timeoutMillis) {
+            long timeoutMillis,
+            BooleanSupplier permitted) {
         channel.eventLoop().execute(() -> {
+            if (!permitted.getAsBoolean()) {
+                request.release();
+                channel.close();
+                answer.completeExceptionally(failure(ErrorCode.NOT_PERMITTED, address));
+                return;
+            }
+            if (channel.pipeline().get(IDLE_GUARD) != null) {
+                channel.pipeline().remove(IDLE_GUARD);
+            }
             channel.pipeline().addLast(new AnswerHandler(address, answer));
             var timer = channel.eventLoop()
                     .schedule(() -> fail(channel, address, answer), timeoutMillis, TimeUnit.MILLISECONDS);
@@ -134,9 +178,10 @@
     }
 
     private void giveBack(InetSocketAddress address, Channel channel) {
+        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
         Deque<Channel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
-            if (channels.size() < MAXIMUM_IDLE) {
+            if (channels.size() < maximumIdle) {
                 channels.addLast(channel);
                 return;
             }
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
@@ -0,0 +1,19 @@
+package org.jackdawbeam.net.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+
+/** Closes an idle connection on which something arrives, because it belongs to no request. */
+public final class IdleGuard extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ReferenceCountUtil.release(message);
+        context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AnswerHeadLimit.java
@@ -0,0 +1,47 @@
+package org.jackdawbeam.net.target;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Limits what a target may send before the head of the answer that is waited for: blank lines, interim answers, answers to
+ * other requests. Without it a target could send such bytes for as long as somebody waits.
+ */
+public final class AnswerHeadLimit extends ChannelInboundHandlerAdapter {
+    private static final long MAXIMUM_BYTES = 1024 * 1024; // many times a head, and a whole answer to another request
+
+    private long bytes;
+    private boolean waiting = true;
+
+    /** Lifts the limit on a connection once the answer has begun. */
+    public static void answerBegun(Channel channel) {
+        AnswerHeadLimit limit = channel.pipeline().get(AnswerHeadLimit.class);
+        if (limit != null) {
+            limit.waiting = false;
+        }
+    }
+
+    /** Sets the limit again before the next request. */
+    static void nextRequest(Channel channel) {
+        AnswerHeadLimit limit = channel.pipeline().get(AnswerHeadLimit.class);
+        if (limit != null) {
+            limit.waiting = true;
+            limit.bytes = 0;
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        bytes += waiting && message instanceof ByteBuf part ? part.readableBytes() : 0;
+        if (waiting && bytes > MAXIMUM_BYTES) {
+            ReferenceCountUtil.release(message);
+            context.fireExceptionCaught(new TooLongFrameException("no answer in " + bytes + " bytes"));
+            return;
+        }
+        context.fireChannelRead(message);
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
@@ -96,6 +96,7 @@
     }
 
     private void begin(ChannelHandlerContext context, HttpResponse response) {
+        AnswerHeadLimit.answerBegun(context.channel());
         status = response.status().code();
         contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         keepAlive = HttpUtil.isKeepAlive(response);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -3,15 +3,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -20,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.jackdawbeam.model.time.MonotonicClock;
+import org.jackdawbeam.net.http.IdleGuard;
 
 /**
  * Connections to targets. A connection is reused only after a clean end and only for a short time, because one that was
@@ -92,6 +90,7 @@
                 boolean old = clock.nowMillis() > candidate.untilMillis();
                 if (candidate.channel().isActive() && !old) {
                     candidate.channel().pipeline().remove(IDLE_GUARD);
+                    AnswerHeadLimit.nextRequest(candidate.channel());
                     return Optional.of(candidate.channel());
                 }
                 candidate.channel().close();
@@ -109,20 +108,6 @@
         }
     }
 
-    /** Closes an idle connection on which something arrives, because it belongs to no request. */
-    private static final class IdleGuard extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            ReferenceCountUtil.release(message);
-            context.close();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
-
     private ChannelFuture connect(InetSocketAddress address) {
         return new Bootstrap()
                 .group(group)
@@ -132,7 +117,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new AnswerHeadLimit(), new HttpClientCodec());
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.refusal.Ran;
 import org.jackdawbeam.model.refusal.RefusalCode;
 import org.jackdawbeam.model.request.AttemptFailure;
@@ -189,4 +190,54 @@
             return FleetFixture.BOUNDS.retryRatio();
         }
     }
+
+    private void permissionEnds(AttemptId attempt) {
+        fixture.apply(new FleetEvent.AttemptFailed(fixture.nowMillis, attempt, AttemptFailure.PERMISSION_ENDED, false));
+    }
+
+    @Test
+    void permissionToSendEndsWithTheLatestReadOfTheConfiguration() {
+        fixture.call("pay");
+
+        FleetEffect.StartAttempt start = fixture.only(FleetEffect.StartAttempt.class);
+
+        assertThat(start.sendUntilMillis()).isGreaterThan(fixture.nowMillis);
+        assertThat(start.sendUntilMillis()).isLessThanOrEqualTo(fixture.nowMillis + FleetFixture.BOUNDS.revokeMillis());
+    }
+
+    @Test
+    void requestWhosePermissionEndedBeforeItWasSentIsRefusedWhereTheConfigurationIsOld() {
+        fixture.call("endless");
+        AttemptId attempt = started();
+        fixture.nowMillis += FleetFixture.BOUNDS.revokeMillis();
+
+        permissionEnds(attempt);
+
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.HOST_ISOLATED);
+        assertThat(refused().refusal().ran()).isEqualTo(Ran.NO);
+    }
+
+    @Test
+    void requestWhosePermissionEndedIsSentAgainWhereTheConfigurationIsFresh() {
+        fixture.call("pay");
+        AttemptId attempt = started();
+        fixture.advanceInContact(100);
+
+        permissionEnds(attempt);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+    }
+
+    @Test
+    void requestWhoseTimeIsOverBeforeItWasSentIsRefusedAndNotSentForEver() {
+        fixture.call("pay");
+        AttemptId attempt = started();
+        fixture.nowMillis += 4_000;
+        fixture.read(Feed.CONFIGURATION, fixture.nowMillis);
+
+        permissionEnds(attempt);
+
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+        assertThat(refused().refusal().ran()).isEqualTo(Ran.NO);
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
@@ -23,7 +23,7 @@
         FleetEffect.StartAttempt start = fixture.only(FleetEffect.StartAttempt.class);
         assertThat(start.target().id()).isEqualTo("e22");
         assertThat(start.workspace()).contains("w");
-        assertThat(start.deadlineMillis()).isEqualTo(4_000);
+        assertThat(start.expiresAtMillis() - fixture.nowMillis).isEqualTo(4_000);
     }
 
     @Test
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
@@ -16,12 +16,14 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jackdawbeam.logic.fleet.FleetEffect;
 import org.jackdawbeam.logic.fleet.FleetEvent;
 import org.jackdawbeam.logic.fleet.FleetReducer;
@@ -335,6 +337,80 @@
         assertThat(closed).hasValue(1);
     }
 
+    /** Sends bytes until the entry closes the connection, and counts them. */
+    private static Script endless(String beginning, String again, AtomicLong sent) {
+        return (socket, id, number) -> {
+            send(socket, beginning.replace("ID", id));
+            byte[] bytes = again.repeat(4_096 / again.length()).getBytes(StandardCharsets.UTF_8);
+            while (true) {
+                socket.getOutputStream().write(bytes);
+                sent.addAndGet(bytes.length);
+            }
+        };
+    }
+
+    private void assertEndsSoon(RouteKind kind, boolean resumable, String beginning, String again) throws Exception {
+        AtomicLong sent = new AtomicLong();
+        start(kind, resumable, endless(beginning, again, sent));
+        long startedNanos = System.nanoTime();
+
+        String answer = call("1");
+
+        assertThat(Duration.ofNanos(System.nanoTime() - startedNanos)).isLessThan(Duration.ofSeconds(4));
+        assertThat(sent.get()).isLessThan(32 * 1024 * 1024);
+        assertThat(answer).doesNotContain("\r\n0\r\n");
+    }
+
+    @Test
+    void headWithoutEndIsNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "HTTP/1.1 200 OK\r\n", "x: y\r\n");
+    }
+
+    @Test
+    void blankLinesWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", "\r\n");
+    }
+
+    @Test
+    void interimAnswersWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    @Test
+    void answersToOthersWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", answer("another", "wrong"));
+    }
+
+    @Test
+    void bodyOfAStreamWithoutAnyEventIsNoStream() throws Exception {
+        assertEndsSoon(RouteKind.STREAMING, true, "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n", "noise");
+    }
+
+    @Test
+    void connectionOnWhichAnAnswerToAnotherRequestCameIsNotUsedAgain() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 1 && connections.get() == 1) {
+                send(socket, answer("another", "wrong"));
+            }
+            send(socket, answer(id, "right" + id));
+        });
+
+        assertThat(call("1", "2")).contains("right2").doesNotContain("wrong");
+        assertThat(connections).hasValue(2);
+    }
+
+    @Test
+    void secondCopyOfAnAnswerThatComesWhenTheConnectionIsInUseAgainReachesNobody() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 2) {
+                send(socket, answer("1", "mine1"));
+            }
+            send(socket, answer(id, "mine" + id));
+        });
+
+        assertThat(call("1", "2")).containsOnlyOnce("mine1").contains("mine2");
+    }
+
     private static void sleep() {
         try {
             Thread.sleep(100);
@@ -347,7 +423,10 @@
     private static final class TestDialect implements TargetDialect {
         @Override
         public HttpHeaders requestHeaders(
-                HttpHeaders callerHeaders, FleetEffect.StartAttempt attempt, Optional<String> resumeAfter) {
+                HttpHeaders callerHeaders,
+                FleetEffect.StartAttempt attempt,
+                long leftMillis,
+                Optional<String> resumeAfter) {
             HttpHeaders headers = new DefaultHttpHeaders();
             headers.set("host", "host");
             headers.set("id", callerHeaders.get("id"));
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/HttpCallerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/HttpCallerTest.java
@@ -5,10 +5,16 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
 import org.junit.jupiter.api.AfterEach;
@@ -58,4 +64,144 @@
                 .satisfies(failure -> code[0] = ((JackdawbeamException) failure.getCause()).code());
         return code[0];
     }
+
+    /** Answers each request with its number, and the first one twice: the second copy comes after a pause. */
+    private static void answerTwice(Socket socket, long pauseMillis) {
+        try (socket) {
+            for (int number = 1; readRequest(socket); number++) {
+                write(socket, number);
+                if (number == 1) {
+                    Thread.sleep(pauseMillis);
+                    write(socket, number);
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The caller has closed the connection, or the test is over.
+        }
+    }
+
+    private static boolean readRequest(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (int next = socket.getInputStream().read();
+                next >= 0;
+                next = socket.getInputStream().read()) {
+            head.append((char) next);
+            if (head.toString().endsWith("\r\n\r\n")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void write(Socket socket, int number) throws IOException {
+        String answer = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" + number;
+        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static ServerSocket serveTwice(long pauseMillis) throws IOException {
+        ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    Thread.ofVirtual().start(() -> answerTwice(socket, pauseMillis));
+                }
+            } catch (IOException e) {
+                // The server has been closed at the end of the test.
+            }
+        });
+        return server;
+    }
+
+    private static String body(HttpAnswer answer) {
+        return new String(answer.body(), StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void secondCopyOfAnAnswerOnAnIdleConnectionIsNotTakenForTheNextAnswer() throws Exception {
+        try (ServerSocket server = serveTwice(50)) {
+            assertThat(body(send(server.getLocalPort()))).isEqualTo("1");
+            Thread.sleep(150);
+
+            // On a connection of its own the next request is the first one again.
+            HttpAnswer next = send(server.getLocalPort());
+
+            assertThat(body(next)).isEqualTo("1");
+        }
+    }
+
+    @Test
+    void withFreshConnectionsNoAnswerCanBelongToAnEarlierRequest() throws Exception {
+        HttpCaller fresh = HttpCaller.withFreshConnections(group, 1_024);
+        AtomicInteger accepted = new AtomicInteger();
+        HttpExchangeHandler handler = exchange -> exchange.respond(200, "text/plain", exchange.body(), Map.of());
+        try (HttpServer server = HttpServer.start(
+                group,
+                new InetSocketAddress("127.0.0.1", 0),
+                () -> {
+                    accepted.incrementAndGet();
+                    return HttpLimits.defaults();
+                },
+                handler)) {
+            for (int number = 0; number < 3; number++) {
+                fresh.send(new InetSocketAddress("127.0.0.1", server.port()), "GET", "/", Map.of(), new byte[0], 300)
+                        .join();
+            }
+        }
+
+        assertThat(accepted).hasValue(3);
+    }
+
+    @Test
+    void requestWhosePermissionHasEndedWhenTheConnectionStandsIsNotSent() {
+        AtomicInteger arrived = new AtomicInteger();
+        HttpExchangeHandler handler = exchange -> {
+            arrived.incrementAndGet();
+            exchange.respond(200, "text/plain", exchange.body(), Map.of());
+        };
+        try (HttpServer server =
+                HttpServer.start(group, new InetSocketAddress("127.0.0.1", 0), HttpLimits.defaults(), handler)) {
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.port());
+            AtomicBoolean permitted = new AtomicBoolean(true);
+            var answer = caller.send(address, "GET", "/", Map.of(), new byte[0], 300, permitted::get);
+            // The sender was paused between its decision and the connection.
+            permitted.set(false);
+
+            assertThatExceptionOfType(CompletionException.class)
+                    .isThrownBy(answer::join)
+                    .satisfies(failure -> assertThat(((JackdawbeamException) failure.getCause()).code())
+                            .isEqualTo(ErrorCode.NOT_PERMITTED));
+        }
+
+        assertThat(arrived).hasValue(0);
+    }
+
+    @Test
+    void answerWithoutEndIsATypedFailure() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> {
+                try (Socket socket = server.accept()) {
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    while (true) {
+                        socket.getOutputStream().write(new byte[4_096]);
+                    }
+                } catch (IOException e) {
+                    // The caller has closed the connection.
+                }
+            });
+            HttpCaller small = HttpCaller.withFreshConnections(group, 64 * 1_024);
+
+            assertThatExceptionOfType(CompletionException.class)
+                    .isThrownBy(() -> small.send(
+                                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                                    "GET",
+                                    "/",
+                                    Map.of(),
+                                    new byte[0],
+                                    5_000)
+                            .join())
+                    .satisfies(failure -> assertThat(((JackdawbeamException) failure.getCause()).code())
+                            .isEqualTo(ErrorCode.MESSAGE_MALFORMED));
+        }
+    }
 }
