Units that accrued while nobody asked are there for the first requests

Ruled out: entries that do not see each other (all nine heard all), units that were not given back. Change: QuotaDuty remembers since when this entry counts each workspace; its first bucket has accrued since then. One that has just taken over still counts on its predecessor having given out the burst.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -75,6 +75,7 @@
         next = leadership.tick(next, nowMillis, effects);
         next = peers.tick(next, nowMillis, effects);
         next = hubs.tick(next, nowMillis, effects);
+        next = quota.tick(next, nowMillis);
         next = requests.tick(next, nowMillis, effects);
         next = dispatch.expire(next, nowMillis, effects);
         next = placement.tick(next, nowMillis, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -16,6 +16,7 @@
  * @param targets targets by id
  * @param peers the other entries by member id
  * @param buckets units of the workspaces that this entry has counted
+ * @param quotaDuty the workspaces that it counts now
  * @param retries retries allowed by service
  * @param demand what callers of this entry ask for, by {@link DemandKey}
  * @param paces how fast engines read, by service
@@ -31,6 +32,7 @@
         PMap<String, FleetPeer> peers,
         PMap<Long, FleetRequest> requests,
         PMap<String, QuotaBucket> buckets,
+        QuotaDuty quotaDuty,
         PMap<String, RetryAllowance> retries,
         Leadership leadership,
         PlacementState placement,
@@ -57,6 +59,7 @@
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                QuotaDuty.none(),
                 HashTreePMap.empty(),
                 Leadership.unknown(),
                 PlacementState.empty(),
@@ -122,6 +125,12 @@
         return draft.build();
     }
 
+    FleetState with(QuotaDuty changed) {
+        Draft draft = new Draft(this);
+        draft.quotaDuty = changed;
+        return draft.build();
+    }
+
     FleetState with(String service, RetryAllowance allowance) {
         Draft draft = new Draft(this);
         draft.retries = retries.plus(service, allowance);
@@ -199,6 +208,7 @@
         private PMap<String, FleetPeer> peers;
         private PMap<Long, FleetRequest> requests;
         private PMap<String, QuotaBucket> buckets;
+        private QuotaDuty quotaDuty;
         private PMap<String, RetryAllowance> retries;
         private Leadership leadership;
         private PlacementState placement;
@@ -218,6 +228,7 @@
             peers = source.peers;
             requests = source.requests;
             buckets = source.buckets;
+            quotaDuty = source.quotaDuty;
             retries = source.retries;
             leadership = source.leadership;
             placement = source.placement;
@@ -239,6 +250,7 @@
                     peers,
                     requests,
                     buckets,
+                    quotaDuty,
                     retries,
                     leadership,
                     placement,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
@@ -13,8 +13,13 @@
     // The predecessor may have given out a whole burst just before; the limit's tolerance is a tenth.
     private static final double FIRST_SHARE_OF_BURST = 0.3;
 
-    static QuotaBucket first(Workspace workspace, long nowMillis) {
-        return new QuotaBucket(workspace.burst() * FIRST_SHARE_OF_BURST, nowMillis);
+    /**
+     * Returns the bucket of an entry that has not given out any units yet.
+     *
+     * @param countsSinceMillis since when nobody else has given out units; they have accrued since
+     */
+    static QuotaBucket first(Workspace workspace, long countsSinceMillis) {
+        return new QuotaBucket(workspace.burst() * FIRST_SHARE_OF_BURST, countsSinceMillis);
     }
 
     /**
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaDuty.java
@@ -0,0 +1,17 @@
+package org.jackdawbeam.logic.fleet;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The workspaces that this entry counts.
+ *
+ * @param sinceMillis by workspace, since when this entry has been the one that counts
+ * @param checkedAtMillis when that was last looked at
+ */
+public record QuotaDuty(PMap<String, Long> sinceMillis, long checkedAtMillis) {
+
+    static QuotaDuty none() {
+        return new QuotaDuty(HashTreePMap.empty(), 0);
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.Workspace;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 
 /**
  * Holds workspaces to their rates. One entry counts for each workspace: the first in an order of the reachable members
@@ -14,6 +16,8 @@
  */
 final class QuotaFlow {
 
+    private static final long DUTY_CHECK_MILLIS = 1_000; // a burst accrues in about that time or longer
+
     /** Answer to a request for units. */
     sealed interface Verdict {
         /** The units may be used. */
@@ -29,6 +33,31 @@
     /** Result of asking for units, with the state after it. */
     record Decision(FleetState state, Verdict verdict) {}
 
+    /** Looks now and then which workspaces this entry counts. */
+    FleetState tick(FleetState state, long nowMillis) {
+        QuotaDuty before = state.quotaDuty();
+        if (nowMillis - before.checkedAtMillis() < DUTY_CHECK_MILLIS
+                || state.configuration().isEmpty()) {
+            return state;
+        }
+        List<FleetPeer> staying = staying(state, nowMillis);
+        PMap<String, Long> since = HashTreePMap.empty();
+        for (Workspace workspace : state.configuration().get().workspaces().values()) {
+            boolean counts = workspace.limited()
+                    && first(staying, workspace.name()).member().equals(state.self());
+            long from = before.sinceMillis().getOrDefault(workspace.name(), nowMillis);
+            since = counts ? since.plus(workspace.name(), from) : since;
+        }
+        return state.with(new QuotaDuty(since, nowMillis));
+    }
+
+    private static FleetPeer first(List<FleetPeer> members, String workspace) {
+        return members.stream()
+                .min(Comparator.comparingLong(
+                        peer -> rank(workspace, peer.member().id())))
+                .orElseThrow();
+    }
+
     /** Takes units here, or names the entry that counts them. */
     Decision take(FleetState state, Workspace workspace, double units, int round, long nowMillis) {
         List<FleetPeer> ranking = ranking(state, workspace.name(), nowMillis);
@@ -85,7 +114,8 @@
     private static Decision takeHere(FleetState state, Workspace workspace, double units, long nowMillis) {
         double share = (double) reachable(state, nowMillis).size() / state.memberCount();
         QuotaBucket bucket = Optional.ofNullable(state.buckets().get(workspace.name()))
-                .orElseGet(() -> QuotaBucket.first(workspace, nowMillis))
+                .orElseGet(() -> QuotaBucket.first(
+                        workspace, state.quotaDuty().sinceMillis().getOrDefault(workspace.name(), nowMillis)))
                 .accrue(workspace, share, nowMillis);
         if (bucket.admits(workspace, share, units)) {
             return new Decision(state.with(workspace.name(), bucket.spend(units)), new Verdict.Granted());
@@ -106,12 +136,18 @@
 
     /** Returns the reachable members, the one that counts first. A leaving member counts no more. */
     private static List<FleetPeer> ranking(FleetState state, String workspace, long nowMillis) {
+        return staying(state, nowMillis).stream()
+                .sorted(Comparator.comparingLong(
+                        peer -> rank(workspace, peer.member().id())))
+                .toList();
+    }
+
+    /** Returns the reachable members that do not leave; all of them if all leave. */
+    private static List<FleetPeer> staying(FleetState state, long nowMillis) {
         boolean selfStays = state.stop() instanceof StopStage.Serving;
         List<FleetPeer> members = reachable(state, nowMillis);
         List<FleetPeer> staying = members.stream()
                 .filter(peer -> peer.member().equals(state.self()) ? selfStays : !peer.leaving())
-                .sorted(Comparator.comparingLong(
-                        peer -> rank(workspace, peer.member().id())))
                 .toList();
         return staying.isEmpty() ? members : staying;
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuotaFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuotaFlowTest.java
@@ -101,4 +101,36 @@
 
         assertThat(fixture.state.buckets().get("w").balance()).isEqualTo(before + 300);
     }
+
+    /** Load pattern: a quiet morning, then a first burst of long prompts of a workspace inside its rate. */
+    @Test
+    void firstRequestsFindWhatHasAccruedWhileTheEntryCountedAndNobodyAsked() {
+        FleetFixture fixture = FleetFixture.serving();
+        fixture.advanceInContact(3_000);
+
+        Verdict verdict =
+                quota.take(fixture.state, WORKSPACE, 950, 0, fixture.nowMillis).verdict();
+
+        assertThat(verdict).isInstanceOf(Verdict.Granted.class);
+    }
+
+    @Test
+    void entryThatHasJustTakenOverCountsOnItsPredecessorHavingGivenOutTheBurst() {
+        FleetFixture fixture = new FleetFixture();
+        fixture.state = FleetState.initial(FleetFixture.member("b"), FleetFixture.BOUNDS);
+        fixture.configure(FleetFixture.configuration(1, FleetFixture.KEY));
+        List<String> peers = List.of("a", "c", "d", "e", "f", "g", "h");
+        for (int beat = 0; beat < 12; beat++) {
+            peers.forEach(fixture::hear);
+            fixture.advanceInContact(250);
+        }
+        assertThat(quota.take(fixture.state, WORKSPACE, 1, 0, fixture.nowMillis).verdict())
+                .as("another entry counts at first")
+                .isInstanceOf(Verdict.Elsewhere.class);
+        fixture.advanceInContact(1_100);
+
+        QuotaFlow.Decision decision = quota.take(fixture.state, WORKSPACE, 950, 9, fixture.nowMillis);
+
+        assertThat(decision.verdict()).isInstanceOf(Verdict.Denied.class);
+    }
 }
