--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -16,8 +16,8 @@
  * Applies events to the reducer, one at a time on the thread of the connections, and runs the effects in order. An
  * event that is submitted while another is applied follows after it.
  *
- * <p>Errors are caught too: without the ticks the process would live on and do nothing. The one that must end it, lack of
- * memory, is left to an option of the runtime.
+ * <p>Errors are caught too: without the ticks the process would live on and do nothing. The one that must end it, lack
+ * of memory, is left to an option of the runtime.
  */
 public final class FleetLoop {
     private static final long TICK_MILLIS = 50; // a fifth of the shortest time limit that depends on it
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpCaller.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpCaller.java
@@ -33,8 +33,8 @@
 
 /**
  * Sends small requests and receives whole answers, for control traffic. Connections are reused after a clean end and
- * closed after any failure, so that a connection that went silent is used only once. Bytes that arrive while a connection
- * is idle belong to no request, and close it.
+ * closed after any failure, so that a connection that went silent is used only once. Bytes that arrive while a
+ * connection is idle belong to no request, and close it.
  */
 public final class HttpCaller {
     private static final int MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024; // four times the largest configuration
@@ -58,8 +58,8 @@
     }
 
     /**
-     * Returns a caller that opens a connection for each request. For servers whose answers cannot be told apart and that
-     * may send a second copy of one: it must not be taken for the answer to the next request.
+     * Returns a caller that opens a connection for each request. For servers whose answers cannot be told apart and
+     * that may send a second copy of one: it must not be taken for the answer to the next request.
      */
     public static HttpCaller withFreshConnections(EventLoopGroup group, int maximumAnswerBytes) {
         return new HttpCaller(group, 0, maximumAnswerBytes);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AnswerHeadLimit.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AnswerHeadLimit.java
@@ -8,8 +8,8 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Limits what a target may send before the head of the answer that is waited for: blank lines, interim answers, answers to
- * other requests. Without it a target could send such bytes for as long as somebody waits.
+ * Limits what a target may send before the head of the answer that is waited for: blank lines, interim answers, answers
+ * to other requests. Without it a target could send such bytes for as long as somebody waits.
  */
 public final class AnswerHeadLimit extends ChannelInboundHandlerAdapter {
     private static final long MAXIMUM_BYTES = 1024 * 1024; // many times a head, and a whole answer to another request
