A host that is behind looks whether the caller has left before it sends a request on

All hosts had restarted on 0.12 cores; a request stood unread for 1.5 s, and its caller's close behind it. The request was sent on as soon as it was read, before the close was. Ruled out: the deadline, which counts from when the entry reads the request. Change: the loop knows when its ticks come late; what is read then is taken up only after one more round of reads. Test: RequestRelayTest, two cases; the caller that has left failed before.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -21,6 +21,8 @@
  */
 public final class FleetLoop {
     private static final long TICK_MILLIS = 50; // a fifth of the shortest time limit that depends on it
+    private static final long BEHIND_MILLIS = 200; // well above a collection of garbage, well below a caller's patience
+    private static final long SHORTEST_DELAY_MILLIS = 1;
 
     private final FleetReducer reducer;
     private final MonotonicClock clock;
@@ -30,6 +32,8 @@
     private Consumer<FleetEffect> runner = effect -> {};
     private FleetState state;
     private boolean applying;
+    private long tickedAtMillis;
+    private long behindUntilMillis;
 
     public FleetLoop(
             FleetReducer reducer, FleetState initial, MonotonicClock clock, EventLoop thread, FleetObserver observer) {
@@ -42,9 +46,34 @@
 
     /** Starts ticking. Effects go to the given runner from now on. */
     public void start(Consumer<FleetEffect> effectRunner) {
+        tickedAtMillis = nowMillis();
         thread.execute(() -> runner = effectRunner);
-        thread.scheduleWithFixedDelay(
-                () -> submit(new FleetEvent.Ticked(nowMillis())), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        long nowMillis = nowMillis();
+        behindUntilMillis = isBehind(nowMillis) ? nowMillis + BEHIND_MILLIS : behindUntilMillis;
+        tickedAtMillis = nowMillis;
+        submit(new FleetEvent.Ticked(nowMillis));
+    }
+
+    /** Returns whether what is read now may have arrived long ago, because the thread or the process was held up. */
+    boolean isBehind() {
+        return isBehind(nowMillis());
+    }
+
+    private boolean isBehind(long nowMillis) {
+        return nowMillis < behindUntilMillis || nowMillis - tickedAtMillis > TICK_MILLIS + BEHIND_MILLIS;
+    }
+
+    /** Runs an action after everything has been read that has arrived by now. */
+    void afterReads(Runnable action) {
+        // A delay may already be over when the tasks of this round run; the second one is not before the next round.
+        thread.schedule(
+                () -> thread.schedule(action, SHORTEST_DELAY_MILLIS, TimeUnit.MILLISECONDS),
+                SHORTEST_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Returns the time that events carry. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
@@ -50,6 +50,19 @@
         if (closing) {
             exchange.closeAfterwards();
         }
+        if (loop.isBehind()) {
+            // The caller may have left long ago, which is only seen after its request.
+            exchange.onCallerLeft(() -> open.remove(id));
+            loop.afterReads(() -> begin(id, exchange));
+            return;
+        }
+        begin(id, exchange);
+    }
+
+    private void begin(long id, HttpExchange exchange) {
+        if (!open.containsKey(id)) {
+            return;
+        }
         exchange.onCallerLeft(() -> callerLeft(id));
         loop.submit(new FleetEvent.RequestArrived(loop.nowMillis(), id, reader.apply(exchange)));
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
@@ -411,9 +411,42 @@
         assertThat(call("1", "2")).containsOnlyOnce("mine1").contains("mine2");
     }
 
+    /** Load pattern: all hosts restart, and requests whose callers have gone stand in the queue of a slow one. */
+    @Test
+    void requestThatIsReadLateIsNotSentWhenItsCallerHasLeft() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        start(RouteKind.SAFE, false, (socket, id, number) -> {
+            arrived.incrementAndGet();
+            send(socket, answer(id, "late"));
+        });
+        EventLoop thread = group.next();
+        thread.execute(() -> sleep(800));
+        sleep(100);
+        try (Socket socket = new Socket(LOOPBACK, server.port())) {
+            send(socket, "GET /x HTTP/1.1\r\nhost: host\r\nid: 1\r\n\r\n");
+        }
+
+        sleep(1_500);
+
+        assertThat(arrived).hasValue(0);
+    }
+
+    @Test
+    void requestThatIsReadLateIsServedWhileItsCallerWaits() throws Exception {
+        start(RouteKind.SAFE, false, (socket, id, number) -> send(socket, answer(id, "hello")));
+        group.next().execute(() -> sleep(800));
+        sleep(100);
+
+        assertThat(call("1")).startsWith("HTTP/1.1 200").endsWith("hello");
+    }
+
     private static void sleep() {
+        sleep(100);
+    }
+
+    private static void sleep(long millis) {
         try {
-            Thread.sleep(100);
+            Thread.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
