A stream that has begun is broken, not followed by a refusal; a refusal after a run does not say that nothing ran

Cause: a resumable stream whose engine broke off and that found no other one was refused after its head had been sent. On a connection that the caller keeps, the refusal could not be written and the stream never ended. Also: a request that was tried again while the configuration was old was refused as not run although it may have run.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -47,7 +47,7 @@
         if (obstacle.isPresent()) {
             RefusalCode code =
                     obstacle.get().equals(KEY_WITHDRAWN) ? RefusalCode.KEY_WITHDRAWN : RefusalCode.HOST_ISOLATED;
-            return refuse(state, request, Refusal.notRun(code, RETRY_MILLIS), obstacle.get(), effects);
+            return refuse(state, request, refusal(request, code, RETRY_MILLIS), obstacle.get(), effects);
         }
         boolean engine = request.call().model().isPresent()
                 && state.configuration()
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
@@ -100,10 +100,15 @@
         attempt(id).ifPresent(AttemptRelay::cancel);
     }
 
-    /** Answers a request negatively. */
+    /** Answers a request negatively; an answer that has begun, as of a stream that cannot go on, is broken instead. */
     public void refuse(long requestId, Refusal refusal) {
         RelayedRequest request = open.remove(requestId);
-        if (request != null) {
+        if (request == null) {
+            return;
+        }
+        if (request.headSent()) {
+            request.exchange().abort();
+        } else {
             refusals.send(request.exchange(), refusal);
         }
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -240,4 +240,16 @@
         assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
         assertThat(refused().refusal().ran()).isEqualTo(Ran.NO);
     }
+
+    @Test
+    void requestThatMayHaveRunIsNotSaidNotToHaveRunWhenTheConfigurationIsOld() {
+        fixture.call("read");
+        AttemptId attempt = started();
+        fixture.nowMillis += 3_900;
+        fixture.state = fixture.state.with(FleetFixture.boundsWithRevocation(2_000));
+
+        lose(attempt, true);
+
+        assertThat(refused().refusal().ran()).isEqualTo(Ran.UNKNOWN);
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -119,6 +119,10 @@
         return new FleetBounds(5_000, true, 3_000, graceMillis, 0.2, 56, 10_000, 5_000, 5);
     }
 
+    static FleetBounds boundsWithRevocation(long revokeMillis) {
+        return new FleetBounds(revokeMillis, true, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5);
+    }
+
     static TargetDescription engine(String id, String... models) {
         return new TargetDescription(
                 id, "engines", "10.0.0.1:" + id.length(), "zone-1", 64, false, Set.of(models), Set.of(), 7, 0);
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/TroubledTargetTest.java
@@ -0,0 +1,147 @@
+package org.jackdawbeam.net.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jackdawbeam.model.fleet.RouteKind;
+import org.junit.jupiter.api.Test;
+
+/** Targets that send bytes without end, second copies or nothing in time, and hosts that are behind. */
+class TroubledTargetTest extends RelayHarness {
+    /** Sends bytes until the entry closes the connection, and counts them. */
+    private static Script endless(String beginning, String again, AtomicLong sent) {
+        return (socket, id, number) -> {
+            send(socket, beginning.replace("ID", id));
+            byte[] bytes = again.repeat(4_096 / again.length()).getBytes(StandardCharsets.UTF_8);
+            while (true) {
+                socket.getOutputStream().write(bytes);
+                sent.addAndGet(bytes.length);
+            }
+        };
+    }
+
+    private void assertEndsSoon(RouteKind kind, boolean resumable, String beginning, String again) throws Exception {
+        AtomicLong sent = new AtomicLong();
+        start(kind, resumable, endless(beginning, again, sent));
+        long startedNanos = System.nanoTime();
+
+        String answer = call("1");
+
+        assertThat(Duration.ofNanos(System.nanoTime() - startedNanos)).isLessThan(Duration.ofSeconds(4));
+        assertThat(sent.get()).isLessThan(32 * 1024 * 1024);
+        assertThat(answer).doesNotContain("\r\n0\r\n");
+    }
+
+    @Test
+    void headWithoutEndIsNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "HTTP/1.1 200 OK\r\n", "x: y\r\n");
+    }
+
+    @Test
+    void blankLinesWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", "\r\n");
+    }
+
+    @Test
+    void interimAnswersWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    @Test
+    void answersToOthersWithoutEndAreNoAnswer() throws Exception {
+        assertEndsSoon(RouteKind.UNSAFE, false, "", answer("another", "wrong"));
+    }
+
+    @Test
+    void bodyOfAStreamWithoutAnyEventIsNoStream() throws Exception {
+        assertEndsSoon(RouteKind.STREAMING, true, "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n", "noise");
+    }
+
+    @Test
+    void connectionOnWhichAnAnswerToAnotherRequestCameIsNotUsedAgain() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 1 && connections.get() == 1) {
+                send(socket, answer("another", "wrong"));
+            }
+            send(socket, answer(id, "right" + id));
+        });
+
+        assertThat(call("1", "2")).contains("right2").doesNotContain("wrong");
+        assertThat(connections).hasValue(2);
+    }
+
+    @Test
+    void secondCopyOfAnAnswerThatComesWhenTheConnectionIsInUseAgainReachesNobody() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 2) {
+                send(socket, answer("1", "mine1"));
+            }
+            send(socket, answer(id, "mine" + id));
+        });
+
+        assertThat(call("1", "2")).containsOnlyOnce("mine1").contains("mine2");
+    }
+
+    /** Load pattern: all hosts restart, and requests whose callers have gone stand in the queue of a slow one. */
+    @Test
+    void requestThatIsReadLateIsNotSentWhenItsCallerHasLeft() throws Exception {
+        AtomicInteger arrived = new AtomicInteger();
+        start(RouteKind.SAFE, false, (socket, id, number) -> {
+            arrived.incrementAndGet();
+            send(socket, answer(id, "late"));
+        });
+        EventLoop thread = group.next();
+        thread.execute(() -> sleep(800));
+        sleep(100);
+        try (Socket socket = new Socket(LOOPBACK, server.port())) {
+            send(socket, "GET /x HTTP/1.1\r\nhost: host\r\nid: 1\r\n\r\n");
+        }
+
+        sleep(1_500);
+
+        assertThat(arrived).hasValue(0);
+    }
+
+    @Test
+    void requestThatIsReadLateIsServedWhileItsCallerWaits() throws Exception {
+        start(RouteKind.SAFE, false, (socket, id, number) -> send(socket, answer(id, "hello")));
+        group.next().execute(() -> sleep(800));
+        sleep(100);
+
+        assertThat(call("1")).startsWith("HTTP/1.1 200").endsWith("hello");
+    }
+
+    @Test
+    void streamThatHasBegunAndCannotGoOnIsBrokenAndNotFollowedByARefusal() throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        start(RouteKind.STREAMING, true, (socket, id, number) -> {
+            if (attempts.incrementAndGet() == 1) {
+                send(socket, "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n");
+                sleep();
+            }
+            socket.setSoLinger(true, 0);
+            socket.close();
+        });
+        long startedNanos = System.nanoTime();
+
+        String answer = callAndKeep("1");
+
+        assertThat(answer).contains("data: a").doesNotContain("\r\n0\r\n").doesNotContain("HTTP/1.1 50");
+        assertThat(Duration.ofNanos(System.nanoTime() - startedNanos)).isLessThan(Duration.ofSeconds(4));
+    }
+
+    /** Sends a request on a connection that the caller would keep, and returns all that comes until it is closed. */
+    private String callAndKeep(String id) throws IOException {
+        try (Socket socket = new Socket(LOOPBACK, server.port())) {
+            socket.setSoTimeout(6_000);
+            send(socket, "GET /x HTTP/1.1\r\nhost: host\r\nid: " + id + "\r\n\r\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
