A host that was behind once does not count as behind for ever

Each tick extended the time in which the loop counts as behind by looking at that time itself, so that after one late tick every request waited for two more rounds of reads. Only the lateness of ticks extends it now.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -53,18 +53,19 @@
 
     private void tick() {
         long nowMillis = nowMillis();
-        behindUntilMillis = isBehind(nowMillis) ? nowMillis + BEHIND_MILLIS : behindUntilMillis;
+        behindUntilMillis = isTickLate(nowMillis) ? nowMillis + BEHIND_MILLIS : behindUntilMillis;
         tickedAtMillis = nowMillis;
         submit(new FleetEvent.Ticked(nowMillis));
     }
 
     /** Returns whether what is read now may have arrived long ago, because the thread or the process was held up. */
     boolean isBehind() {
-        return isBehind(nowMillis());
+        long nowMillis = nowMillis();
+        return nowMillis < behindUntilMillis || isTickLate(nowMillis);
     }
 
-    private boolean isBehind(long nowMillis) {
-        return nowMillis < behindUntilMillis || nowMillis - tickedAtMillis > TICK_MILLIS + BEHIND_MILLIS;
+    private boolean isTickLate(long nowMillis) {
+        return nowMillis - tickedAtMillis > TICK_MILLIS + BEHIND_MILLIS;
     }
 
     /** Runs an action after everything has been read that has arrived by now. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetLoopTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetLoopTest.java
@@ -116,4 +116,18 @@
         assertThat(failures).isNotEmpty();
         assertThat(ticks()).isGreaterThan(2);
     }
+
+    @Test
+    void loopThatWasHeldUpOnceIsNotBehindForEver() throws Exception {
+        FleetLoop loop = start(effect -> {});
+        group.next()
+                .submit(() -> {
+                    Thread.sleep(600);
+                    return null;
+                })
+                .get();
+        Thread.sleep(3 * TICKS_MILLIS);
+
+        assertThat(group.next().submit(loop::isBehind).get()).isFalse();
+    }
 }
