Log lines of requests tell route, model, adapter, tokens and objective; bench losses compares sizes

Change: RequestTraits goes with the effects and notes of a request; 'bench losses' shows for each route the largest tenth, the fifth below it and the rest, with the part that was completed and the other ends. No decision looks at it. Checked: SizeTableTest, LossTableTest, StopFlowTest, RequestFlowTest, AttemptFlowTest.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/logs/LossesCommand.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/logs/LossesCommand.java
@@ -14,18 +14,23 @@
         mixinStandardHelpOptions = true,
         description =
                 "Adds up, from the logs of all entries with the time and the host before each line, which requests"
-                        + " waited for what and which were refused why.")
+                        + " waited for what, which were refused why, and how requests of different sizes ended.")
 public final class LossesCommand implements Callable<Integer> {
     @Parameters(paramLabel = "LOG", description = "File with the logs.")
     private Path log;
 
     @Override
     public Integer call() throws IOException {
-        LossTable table = new LossTable();
+        LossTable losses = new LossTable();
+        SizeTable sizes = new SizeTable();
         try (Stream<String> lines = Files.lines(log)) {
-            lines.flatMap(line -> LogLine.parse(line).stream()).forEach(table::add);
+            lines.flatMap(line -> LogLine.parse(line).stream()).forEach(line -> {
+                losses.add(line);
+                sizes.add(line);
+            });
         }
-        table.lines().forEach(System.out::println);
+        losses.lines().forEach(System.out::println);
+        sizes.lines().forEach(System.out::println);
         return 0;
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -150,7 +150,8 @@
     /** Answers a request negatively and forgets it. */
     FleetState refuse(
             FleetState state, FleetRequest request, Refusal refusal, String reason, List<FleetEffect> effects) {
-        effects.add(new FleetEffect.RefuseRequest(request.id(), request.call().callerRequestId(), refusal, reason));
+        effects.add(new FleetEffect.RefuseRequest(
+                request.id(), request.call().callerRequestId(), refusal, reason, request.traits()));
         return state.without(request);
     }
 
@@ -210,7 +211,8 @@
                 request.workspace(),
                 late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
-                choice.estimateMillis()));
+                choice.estimateMillis(),
+                request.traits()));
         ReadingPace pace = state.pace(request.service()).sent(request.call().inputTokens(), choice.unreadTokens());
         return state.with(busier)
                 .with(request.service(), pace)
@@ -252,19 +254,7 @@
 
     private static void noteWait(FleetRequest request, String reason, long nowMillis, List<FleetEffect> effects) {
         effects.add(FleetEffect.Note.of(
-                "request_waiting",
-                "request",
-                request.call().callerRequestId(),
-                "request_number",
-                request.id(),
-                "model",
-                request.call().model().orElse("-"),
-                "adapter",
-                request.call().adapter().orElse("-"),
-                "reason",
-                reason,
-                "left_ms",
-                request.expiresAtMillis() - nowMillis));
+                "request_waiting", request, "reason", reason, "left_ms", request.expiresAtMillis() - nowMillis));
     }
 
     /** Returns the engine that should hold the adapter: one with the model, always the same as far as it can serve. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.logic.fleet;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +48,7 @@
      * @param priority rank at the target
      * @param resumable whether only whole events may be passed on
      * @param estimateMillis expected time to the first byte
+     * @param traits what is logged of the request
      */
     record StartAttempt(
             AttemptId attempt,
@@ -57,7 +59,8 @@
             Optional<String> workspace,
             int priority,
             boolean resumable,
-            long estimateMillis)
+            long estimateMillis,
+            RequestTraits traits)
             implements FleetEffect {}
 
     /** Passes the answer of an attempt on to the caller, from its head on. */
@@ -67,7 +70,7 @@
     record CancelAttempt(AttemptId attempt) implements FleetEffect {}
 
     /** Answers a request negatively. */
-    record RefuseRequest(long requestId, String callerRequestId, Refusal refusal, String reason)
+    record RefuseRequest(long requestId, String callerRequestId, Refusal refusal, String reason, RequestTraits traits)
             implements FleetEffect {}
 
     /** Ends an answer that has begun so that the caller sees that it is not whole. */
@@ -103,5 +106,14 @@
         static Note of(String event, Object... fields) {
             return new Note(event, Arrays.stream(fields).map(String::valueOf).toList());
         }
+
+        /** Returns a line about a request, with what is logged of every request. */
+        static Note of(String event, FleetRequest request, Object... fields) {
+            List<String> all = new ArrayList<>(List.of(
+                    "request", request.call().callerRequestId(), "request_number", Long.toString(request.id())));
+            all.addAll(request.traits().fields());
+            Arrays.stream(fields).map(String::valueOf).forEach(all::add);
+            return new Note(event, List.copyOf(all));
+        }
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -107,6 +107,10 @@
                 phase);
     }
 
+    RequestTraits traits() {
+        return RequestTraits.of(call, Optional.of(route));
+    }
+
     /** Returns whether no target can have executed the request. */
     boolean hasNotRun() {
         return executions == 0;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -168,13 +168,7 @@
         long latest = request.arrivedAtMillis() + request.route().objectiveMillis() / UNITS_PART_OF_OBJECTIVE;
         if (againAt <= latest) {
             effects.add(FleetEffect.Note.of(
-                    "request_waiting",
-                    "request",
-                    request.call().callerRequestId(),
-                    "request_number",
-                    request.id(),
-                    "reason",
-                    "workspace over its rate for " + retryAfterMillis + " ms"));
+                    "request_waiting", request, "reason", "workspace over its rate for " + retryAfterMillis + " ms"));
             return state.with(request.in(new FleetPhase.AwaitingUnits(againAt)));
         }
         long retryAfter = Math.min(MAXIMUM_RETRY_MILLIS, retryAfterMillis);
@@ -189,8 +183,10 @@
             Refusal refusal,
             String reason,
             List<FleetEffect> effects) {
-        effects.add(
-                new FleetEffect.RefuseRequest(event.requestId(), event.request().callerRequestId(), refusal, reason));
+        CallerRequest call = event.request();
+        Optional<Route> route = state.configuration().flatMap(known -> known.route(call.host(), call.path()));
+        effects.add(new FleetEffect.RefuseRequest(
+                event.requestId(), call.callerRequestId(), refusal, reason, RequestTraits.of(call, route)));
         return state;
     }
 
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestTraits.java
@@ -0,0 +1,48 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import org.jackdawbeam.model.fleet.CallerRequest;
+import org.jackdawbeam.model.fleet.Route;
+
+/**
+ * What log lines tell of a request, so that losses can be broken down by route, model and size.
+ *
+ * @param route name of the route; "-" if none was found
+ * @param model name of the model; "-" for plain services
+ * @param adapter name of the adapter; "-" without one
+ * @param inputTokens length of the prompt; 0 if unknown
+ * @param outputTokens most tokens to be generated; 0 if unknown
+ * @param objectiveMillis time within which the first byte is on time; -1 without a route
+ */
+public record RequestTraits(
+        String route, String model, String adapter, long inputTokens, long outputTokens, long objectiveMillis) {
+    private static final String NONE = "-";
+
+    static RequestTraits of(CallerRequest call, Optional<Route> route) {
+        return new RequestTraits(
+                route.map(Route::name).orElse(NONE),
+                call.model().orElse(NONE),
+                call.adapter().orElse(NONE),
+                call.inputTokens(),
+                call.maximumOutputTokens(),
+                route.map(Route::objectiveMillis).orElse(-1L));
+    }
+
+    /** Returns keys and values by turns. */
+    public List<String> fields() {
+        return List.of(
+                "route",
+                route,
+                "model",
+                model,
+                "adapter",
+                adapter,
+                "input_tokens",
+                Long.toString(inputTokens),
+                "output_tokens",
+                Long.toString(outputTokens),
+                "objective_ms",
+                Long.toString(objectiveMillis));
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -28,7 +28,7 @@
             case FleetEffect.StartAttempt start ->
                 Logger.info(
                         "event=attempt_started request={} request_number={} attempt={} target={} deadline_ms={}"
-                                + " estimate_ms={} priority={} workspace={} configuration={}",
+                                + " estimate_ms={} priority={} workspace={} configuration={}{}",
                         start.callerRequestId(),
                         start.attempt().requestId(),
                         start.attempt().number(),
@@ -37,18 +37,20 @@
                         start.estimateMillis(),
                         start.priority(),
                         start.workspace().orElse("-"),
-                        version(state));
+                        version(state),
+                        pairs(start.traits().fields()));
             case FleetEffect.RefuseRequest refuse ->
                 Logger.info(
                         "event=request_refused request={} request_number={} code={} ran={} retry_after_ms={}"
-                                + " reason=\"{}\" configuration={}",
+                                + " reason=\"{}\" configuration={}{}",
                         refuse.callerRequestId(),
                         refuse.requestId(),
                         refuse.refusal().code(),
                         refuse.refusal().ran() == Ran.NO ? "no" : "unknown",
                         refuse.refusal().retryAfterMillis().orElse(-1),
                         refuse.reason(),
-                        version(state));
+                        version(state),
+                        pairs(refuse.traits().fields()));
             case FleetEffect.BreakAnswer broken ->
                 Logger.info(
                         "event=answer_broken request={} request_number={} reason=\"{}\"",
@@ -88,8 +90,12 @@
     }
 
     private static String line(FleetEffect.Note note) {
-        StringBuilder line = new StringBuilder("event=").append(note.event());
-        List<String> fields = note.fields();
+        return "event=" + note.event() + pairs(note.fields());
+    }
+
+    /** Returns keys and values by turns as text, each pair after a space. */
+    private static String pairs(List<String> fields) {
+        StringBuilder line = new StringBuilder();
         for (int index = 0; index + 1 < fields.size(); index += 2) {
             String value = fields.get(index + 1);
             boolean plain = !value.isEmpty() && value.indexOf(' ') < 0;
