--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
@@ -8,6 +8,7 @@
 final class Admission {
     private static final long LEAST_PATIENCE_MILLIS = 2_000; // callers of interactive requests wait at least that long
     private static final long PATIENCE_IN_OBJECTIVES = 3; // late answers are still useful within a few objectives
+    private static final double FORGIVEN_PART = 0.5; // the users want long prompts served at least half as often
     private static final long LEAST_RETRY_MILLIS = 400; // about a load of a model from an engine's memory
     private static final long LONGEST_RETRY_MILLIS = 1_500; // queues at engines are shorter than that
 
@@ -25,15 +26,24 @@
 
     private Admission() {}
 
-    static Verdict judge(FleetRequest request, TargetChooser.Choice choice, long nowMillis) {
+    /**
+     * Judges a request by the time until its first token. Half of what its prompt takes more than a typical one is left
+     * out: under lasting overload the queue stands at the bound, where otherwise only short prompts would still fit.
+     * Long ones are served less often then, since they cost others more, but not much less.
+     *
+     * @param typicalMillis time in which an engine reads a typical prompt of the route
+     */
+    static Verdict judge(FleetRequest request, TargetChooser.Choice choice, long typicalMillis, long nowMillis) {
         long waitedMillis = nowMillis - request.arrivedAtMillis();
         long objectiveMillis = request.route().objectiveMillis();
-        if (waitedMillis + choice.estimateMillis() <= objectiveMillis) {
+        long forgivenMillis = Math.round((choice.ownMillis() - typicalMillis) * FORGIVEN_PART);
+        if (waitedMillis + choice.estimateMillis() - forgivenMillis <= objectiveMillis) {
             return new Verdict.InTime();
         }
         long patienceMillis = Math.max(LEAST_PATIENCE_MILLIS, PATIENCE_IN_OBJECTIVES * objectiveMillis);
-        long left = Math.min(patienceMillis, request.expiresAtMillis() - nowMillis);
-        if (choice.lateEstimateMillis() < left) {
+        long leftMillis = request.expiresAtMillis() - nowMillis;
+        boolean endured = choice.lateEstimateMillis() - forgivenMillis < patienceMillis;
+        if (endured && choice.lateEstimateMillis() < leftMillis) {
             return new Verdict.Late();
         }
         long excess = choice.estimateMillis() - objectiveMillis;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -71,8 +71,10 @@
                     state, request, RefusalCode.NO_CAPACITY, "all targets have failed it", nowMillis, effects);
         }
         if (choice.isPresent()) {
-            Admission.Verdict verdict =
-                    engine ? Admission.judge(request, choice.get(), nowMillis) : new Admission.Verdict.InTime();
+            long typical = typicalMillis(state, request, choice.get());
+            Admission.Verdict verdict = engine
+                    ? Admission.judge(request, choice.get(), typical, nowMillis)
+                    : new Admission.Verdict.InTime();
             return switch (verdict) {
                 case Admission.Verdict.InTime inTime -> send(state, request, choice.get(), false, nowMillis, effects);
                 case Admission.Verdict.Late late -> send(state, request, choice.get(), true, nowMillis, effects);
@@ -215,10 +217,16 @@
                 request.traits()));
         ReadingPace pace = state.pace(request.service()).sent(request.call().inputTokens(), choice.unreadTokens());
         return state.with(busier)
+                .withTypicalUnread(request.route().name(), choice.unreadTokens())
                 .with(request.service(), pace)
                 .with(request.sent(new FleetPhase.Running(attempt, id, false)));
     }
 
+    private static long typicalMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
+        double tokens = state.typicalUnread().getOrDefault(request.route().name(), (double) choice.unreadTokens());
+        return Math.round(state.pace(request.service()).readMillis(tokens));
+    }
+
     private FleetState wish(
             FleetState state,
             FleetRequest request,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -23,6 +23,7 @@
  * @param demand what callers of this entry ask for, by {@link DemandKey}
  * @param objectives mean objective of the requests for a model in milliseconds, by {@link DemandKey}
  * @param paces how fast engines read, by service
+ * @param typicalUnread prompt tokens that an engine had to read for a request, averaged by route
  * @param sent what the other entries were last told
  * @param hub how news pass in a fleet that is too large for all to tell all
  */
@@ -44,12 +45,14 @@
         Demand demand,
         PMap<String, Double> objectives,
         PMap<String, ReadingPace> paces,
+        PMap<String, Double> typicalUnread,
         Announcement announcement,
         StopStage stop,
         SentWork sent,
         HubState hub) {
     static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last three seconds and more
     private static final double OBJECTIVE_WEIGHT = 0.1; // about the last ten requests count
+    private static final double TYPICAL_WEIGHT = 0.05; // about the last twenty requests count; lengths differ tenfold
 
     /** Returns the state of an entry that has just started. */
     public static FleetState initial(FleetMember self, FleetBounds bounds) {
@@ -75,6 +78,7 @@
                 Demand.none(DEMAND_WINDOW_MILLIS),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                HashTreePMap.empty(),
                 Announcement.DUE,
                 new StopStage.Serving(),
                 SentWork.nothing(),
@@ -187,6 +191,14 @@
         return draft.build();
     }
 
+    /** Returns the state after an engine was sent a request of a route that makes it read the tokens. */
+    FleetState withTypicalUnread(String route, long tokens) {
+        double mean = typicalUnread.getOrDefault(route, (double) tokens);
+        Draft draft = new Draft(this);
+        draft.typicalUnread = typicalUnread.plus(route, mean + TYPICAL_WEIGHT * (tokens - mean));
+        return draft.build();
+    }
+
     ReadingPace pace(String service) {
         return paces.getOrDefault(service, ReadingPace.unknown());
     }
@@ -243,6 +255,7 @@
         private Demand demand;
         private PMap<String, Double> objectives;
         private PMap<String, ReadingPace> paces;
+        private PMap<String, Double> typicalUnread;
         private Announcement announcement;
         private StopStage stop;
         private SentWork sent;
@@ -266,6 +279,7 @@
             demand = source.demand;
             objectives = source.objectives;
             paces = source.paces;
+            typicalUnread = source.typicalUnread;
             announcement = source.announcement;
             stop = source.stop;
             sent = source.sent;
@@ -291,6 +305,7 @@
                     demand,
                     objectives,
                     paces,
+                    typicalUnread,
                     announcement,
                     stop,
                     sent,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -26,6 +26,7 @@
      *
      * @param unreadTokens prompt tokens that it has to read
      * @param aheadTokens prompt tokens of other requests that it has to read before
+     * @param ownMillis part of the estimate in which the target reads the request's own prompt
      * @param estimateMillis expected time to the first byte
      * @param lateEstimateMillis the same behind all requests that can still be in time
      * @param penaltyMillis how much longer than that another target may take and still be preferred
@@ -34,6 +35,7 @@
             FleetTarget target,
             long unreadTokens,
             long aheadTokens,
+            long ownMillis,
             long estimateMillis,
             long lateEstimateMillis,
             long penaltyMillis) {
@@ -86,7 +88,15 @@
         // The other entries send late requests too, and do not tell of them.
         double behind = engine ? target.lateUnreadTokens() * (double) state.memberCount() : 0;
         double lateMillis = millis + state.pace(request.service()).readMillis(behind);
-        return new Choice(target, unread, ahead, Math.round(millis), Math.round(lateMillis), Math.round(penalty));
+        double ownMillis = state.pace(request.service()).readMillis(unread);
+        return new Choice(
+                target,
+                unread,
+                ahead,
+                Math.round(ownMillis),
+                Math.round(millis),
+                Math.round(lateMillis),
+                Math.round(penalty));
     }
 
     /** Returns how long the first token of a request waits for the tokens of those that run beside it. */
