--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -108,7 +108,7 @@
     }
 
     RequestTraits traits() {
-        return RequestTraits.of(call, Optional.of(route));
+        return RequestTraits.of(call, Optional.of(route), workspace);
     }
 
     /** Returns whether no target can have executed the request. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -186,7 +186,11 @@
         CallerRequest call = event.request();
         Optional<Route> route = state.configuration().flatMap(known -> known.route(call.host(), call.path()));
         effects.add(new FleetEffect.RefuseRequest(
-                event.requestId(), call.callerRequestId(), refusal, reason, RequestTraits.of(call, route)));
+                event.requestId(),
+                call.callerRequestId(),
+                refusal,
+                reason,
+                RequestTraits.of(call, route, Optional.empty())));
         return state;
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestTraits.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestTraits.java
@@ -9,6 +9,7 @@
  * What log lines tell of a request, so that losses can be broken down by route, model and size.
  *
  * @param route name of the route; "-" if none was found
+ * @param workspace name of the workspace; "-" on open routes and where the key is unknown
  * @param model name of the model; "-" for plain services
  * @param adapter name of the adapter; "-" without one
  * @param inputTokens length of the prompt; 0 if unknown
@@ -16,12 +17,19 @@
  * @param objectiveMillis time within which the first byte is on time; -1 without a route
  */
 public record RequestTraits(
-        String route, String model, String adapter, long inputTokens, long outputTokens, long objectiveMillis) {
+        String route,
+        String workspace,
+        String model,
+        String adapter,
+        long inputTokens,
+        long outputTokens,
+        long objectiveMillis) {
     private static final String NONE = "-";
 
-    static RequestTraits of(CallerRequest call, Optional<Route> route) {
+    static RequestTraits of(CallerRequest call, Optional<Route> route, Optional<String> workspace) {
         return new RequestTraits(
                 route.map(Route::name).orElse(NONE),
+                workspace.orElse(NONE),
                 call.model().orElse(NONE),
                 call.adapter().orElse(NONE),
                 call.inputTokens(),
@@ -34,6 +42,8 @@
         return List.of(
                 "route",
                 route,
+                "workspace",
+                workspace,
                 "model",
                 model,
                 "adapter",
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -28,7 +28,7 @@
             case FleetEffect.StartAttempt start ->
                 Logger.info(
                         "event=attempt_started request={} request_number={} attempt={} target={} deadline_ms={}"
-                                + " estimate_ms={} priority={} workspace={} configuration={}{}",
+                                + " estimate_ms={} priority={} configuration={}{}",
                         start.callerRequestId(),
                         start.attempt().requestId(),
                         start.attempt().number(),
@@ -36,7 +36,6 @@
                         start.expiresAtMillis() - cause.nowMillis(),
                         start.estimateMillis(),
                         start.priority(),
-                        start.workspace().orElse("-"),
                         version(state),
                         pairs(start.traits().fields()));
             case FleetEffect.RefuseRequest refuse ->
