--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
@@ -12,6 +12,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
     // The predecessor may have given out a whole burst just before; the limit's tolerance is a tenth.
     private static final double FIRST_SHARE_OF_BURST = 0.3;
+    private static final double CALLS_SHARE_OF_BURST = 0.1; // the limit's tolerance
 
     /**
      * Returns the bucket of an entry that has not given out any units yet.
@@ -33,9 +34,18 @@
         return new QuotaBucket(Math.min(balance + accrued, workspace.burst() * share), nowMillis);
     }
 
-    /** Returns whether a request may be admitted. One that is larger than the burst needs a full bucket. */
+    /**
+     * Returns whether a request may be admitted: as long as there is something left, whatever it costs. It is paid off
+     * before the next one. If a request had to find all its units, small ones would take what accrues and leave nothing
+     * to large ones. Calls without tokens cost little and need not wait until prompts are paid off.
+     */
     boolean admits(Workspace workspace, double share, double units) {
-        return balance >= Math.min(units, workspace.burst() * share);
+        return balance > leastBalance(workspace, share, units);
+    }
+
+    private static double leastBalance(Workspace workspace, double share, double units) {
+        boolean withoutTokens = workspace.countsTokens() && units <= workspace.plainTokens();
+        return withoutTokens ? -workspace.burst() * share * CALLS_SHARE_OF_BURST : 0;
     }
 
     QuotaBucket spend(double units) {
@@ -44,7 +54,7 @@
 
     /** Returns how long it takes until the request can be admitted. */
     long millisUntil(Workspace workspace, double share, double units) {
-        double missing = Math.min(units, workspace.burst() * share) - balance;
-        return (long) Math.ceil(Math.max(0, missing) * MILLIS_PER_SECOND / (workspace.ratePerSecond() * share));
+        double missing = leastBalance(workspace, share, units) - balance;
+        return 1 + (long) Math.ceil(Math.max(0, missing) * MILLIS_PER_SECOND / (workspace.ratePerSecond() * share));
     }
 }
