--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
@@ -8,7 +8,7 @@
 final class Admission {
     private static final long LEAST_PATIENCE_MILLIS = 2_000; // callers of interactive requests wait at least that long
     private static final long PATIENCE_IN_OBJECTIVES = 3; // late answers are still useful within a few objectives
-    private static final double FORGIVEN_PART = 0.5; // the users want long prompts served at least half as often
+    private static final double PART_LEFT_OUT = 0.5; // the users want long prompts served at least half as often
     private static final long LEAST_RETRY_MILLIS = 400; // about a load of a model from an engine's memory
     private static final long LONGEST_RETRY_MILLIS = 1_500; // queues at engines are shorter than that
 
@@ -27,22 +27,22 @@
     private Admission() {}
 
     /**
-     * Judges a request by the time until its first token. Half of what its prompt takes more than a typical one is left
-     * out: under lasting overload the queue stands at the bound, where otherwise only short prompts would still fit.
-     * Long ones are served less often then, since they cost others more, but not much less.
+     * Judges a request by the time until its first token. The difference between its prompt and a typical one counts by
+     * half: under lasting overload the queue stands at the bound, where otherwise only short prompts would still fit.
+     * Long ones, which cost others more, are served less often then, but not much less.
      *
      * @param typicalMillis time in which an engine reads a typical prompt of the route
      */
     static Verdict judge(FleetRequest request, TargetChooser.Choice choice, long typicalMillis, long nowMillis) {
         long waitedMillis = nowMillis - request.arrivedAtMillis();
         long objectiveMillis = request.route().objectiveMillis();
-        long forgivenMillis = Math.round((choice.ownMillis() - typicalMillis) * FORGIVEN_PART);
-        if (waitedMillis + choice.estimateMillis() - forgivenMillis <= objectiveMillis) {
+        long leftOutMillis = Math.round((choice.ownMillis() - typicalMillis) * PART_LEFT_OUT);
+        if (waitedMillis + choice.estimateMillis() - leftOutMillis <= objectiveMillis) {
             return new Verdict.InTime();
         }
         long patienceMillis = Math.max(LEAST_PATIENCE_MILLIS, PATIENCE_IN_OBJECTIVES * objectiveMillis);
         long leftMillis = request.expiresAtMillis() - nowMillis;
-        boolean endured = choice.lateEstimateMillis() - forgivenMillis < patienceMillis;
+        boolean endured = choice.lateEstimateMillis() - leftOutMillis < patienceMillis;
         if (endured && choice.lateEstimateMillis() < leftMillis) {
             return new Verdict.Late();
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaBucket.java
@@ -40,10 +40,10 @@
      * to large ones. Calls without tokens cost little and need not wait until prompts are paid off.
      */
     boolean admits(Workspace workspace, double share, double units) {
-        return balance > leastBalance(workspace, share, units);
+        return balance > lowestBalance(workspace, share, units);
     }
 
-    private static double leastBalance(Workspace workspace, double share, double units) {
+    private static double lowestBalance(Workspace workspace, double share, double units) {
         boolean withoutTokens = workspace.countsTokens() && units <= workspace.plainTokens();
         return withoutTokens ? -workspace.burst() * share * CALLS_SHARE_OF_BURST : 0;
     }
@@ -54,7 +54,7 @@
 
     /** Returns how long it takes until the request can be admitted. */
     long millisUntil(Workspace workspace, double share, double units) {
-        double missing = leastBalance(workspace, share, units) - balance;
+        double missing = lowestBalance(workspace, share, units) - balance;
         return 1 + (long) Math.ceil(Math.max(0, missing) * MILLIS_PER_SECOND / (workspace.ratePerSecond() * share));
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
@@ -58,7 +58,7 @@
 
     /** Guards against long prompts that are never in time because short ones fill the queue up to the bound. */
     @Test
-    void halfOfTheExtraLengthOfALongPromptIsForgiven() {
+    void extraLengthOfALongPromptCountsByHalf() {
         assertThat(judgeLong(700, 700)).isInstanceOf(Admission.Verdict.InTime.class);
         assertThat(judgeLong(701, 701)).isInstanceOf(Admission.Verdict.Late.class);
         assertThat(judgeLong(2_100, 2_099)).isInstanceOf(Admission.Verdict.Late.class);
