--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/PolicyRun.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/PolicyRun.java
@@ -50,7 +50,8 @@
         this.measurement = new PolicyMeasurement(site.kinds());
         this.targets = new ServingTargets(queue, engines, measurement);
         this.fleet = new FleetSimulation(queue, random, targets, this::onRefused);
-        List<String> names = List.copyOf(site.definition().models().keySet());
+        List<String> names =
+                site.definition().models().keySet().stream().sorted().toList();
         for (Set<String> models : site.engines()) {
             Set<String> copies = new HashSet<>();
             while (copies.size() < DISK_COPIES) {
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/ServingEngine.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/ServingEngine.java
@@ -48,7 +48,7 @@
         this.copies = new WeightCopies(site.definition(), site.speed());
         models.forEach(model -> held.put(model, new HashSet<>()));
         onDisk.forEach(copies::loaded);
-        models.forEach(copies::loaded);
+        models.stream().sorted().forEach(copies::loaded);
     }
 
     String id() {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -96,6 +96,7 @@
         this.expected = replicas(engines, true);
         this.costs = new ReplicaCosts(definition, needs, pace, copies(engines));
         this.spareWeights = definition.models().keySet().stream()
+                .sorted()
                 .mapToDouble(this::spareWeight)
                 .sum();
         this.gains = new HashMap<>();
@@ -137,6 +138,7 @@
             return Optional.empty();
         }
         return engine.models().stream()
+                .sorted()
                 .map(dropped -> displacement(engine, dropped, model, loadSeconds, busy))
                 .max(Comparator.comparingDouble(Candidate::benefit));
     }
@@ -185,6 +187,7 @@
     /** Returns the part of an engine's time that its models take. */
     private double load(Engine engine) {
         return engine.models().stream()
+                .sorted()
                 .mapToDouble(model -> costs.load(model) / Math.max(1, held.getOrDefault(model, 1)))
                 .sum();
     }
