Log lines of attempts tell the parts of their prompts; messages that cannot be decoded are logged

Change: prompt_parts on the lines of requests and attempts; attempt_failed tells waited_ms and answer_begun.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -69,7 +69,7 @@
                     updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
-        return updated.with(request.withPhase(new RequestPhase.Running(event.attempt(), id, true)));
+        return updated.with(request.withPhase(new RequestPhase.Running(event.attempt(), id, true, false)));
     }
 
     /** Learns the prefill speed from the time to the first bytes, which includes the prompts queued before it. */
@@ -79,9 +79,10 @@
             return state;
         }
         RequestPhase.Running running = (RequestPhase.Running) found.get().phase();
-        return findOutstanding(state, running)
-                .map(attempt -> recordPrefillTime(state, found.get().service(), running, attempt, event.nowMillis()))
-                .orElse(state);
+        FleetState begun = state.with(found.get().withPhase(running.withStreaming()));
+        return findOutstanding(begun, running)
+                .map(attempt -> recordPrefillTime(begun, found.get().service(), running, attempt, event.nowMillis()))
+                .orElse(begun);
     }
 
     private static FleetState recordPrefillTime(
@@ -188,6 +189,9 @@
             long nowMillis,
             List<FleetEffect> effects) {
         RequestPhase.Running running = (RequestPhase.Running) original.phase();
+        long sentAtMillis = findOutstanding(state, running)
+                .map(OutstandingAttempt::sentAtMillis)
+                .orElse(nowMillis);
         boolean adapterMissing = !mayHaveRun && original.call().adapter().isPresent();
         FleetRequest request = adapterMissing ? original : original.withFailedAttempt(target, mayHaveRun);
         FleetState released = DispatchFlow.releaseAttempt(state, running).with(request);
@@ -207,7 +211,13 @@
                 "may_have_run",
                 mayHaveRun,
                 "attempts",
-                request.attempts()));
+                request.attempts(),
+                "waited_ms",
+                nowMillis - sentAtMillis,
+                "answer_begun",
+                running.streaming(),
+                "prompt_parts",
+                RequestTraits.formatParts(request.call().prompt())));
         if (mayRetry(released, request, nowMillis)) {
             FleetState charged = spendRetry(released, request, nowMillis);
             return dispatch.dispatch(charged, request, nowMillis, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -236,7 +236,7 @@
         return state.with(updated)
                 .withSentPrefill(request.route().name(), choice.prefillTokens())
                 .with(request.service(), statistics)
-                .with(request.withAttempt(new RequestPhase.Running(attempt, id, false)));
+                .with(request.withAttempt(new RequestPhase.Running(attempt, id, false, false)));
     }
 
     private static long typicalPrefillMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestPhase.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestPhase.java
@@ -22,6 +22,11 @@
      * Has been sent to a target.
      *
      * @param answered whether the head of the answer has been relayed to the caller
+     * @param streaming whether the target has begun to write the body of its answer
      */
-    record Running(AttemptId attempt, String target, boolean answered) implements RequestPhase {}
+    record Running(AttemptId attempt, String target, boolean answered, boolean streaming) implements RequestPhase {
+        Running withStreaming() {
+            return new Running(attempt, target, answered, true);
+        }
+    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestTraits.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestTraits.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.jackdawbeam.model.fleet.CallerRequest;
+import org.jackdawbeam.model.fleet.PromptPart;
 import org.jackdawbeam.model.fleet.Route;
 
 /**
@@ -15,6 +17,7 @@
  * @param inputTokens length of the prompt; 0 if unknown
  * @param outputTokens maximum number of tokens to generate; 0 if unknown
  * @param objectiveMillis objective for the time to the first byte; -1 without a route
+ * @param prompt parts of the prompt, in order
  */
 public record RequestTraits(
         String route,
@@ -23,8 +26,10 @@
         String adapter,
         long inputTokens,
         long outputTokens,
-        long objectiveMillis) {
+        long objectiveMillis,
+        List<PromptPart> prompt) {
     private static final String NONE = "-";
+    private static final int MAX_LOGGED_PARTS = 8; // callers choose the number of parts, and log lines must stay short
 
     static RequestTraits of(CallerRequest call, Optional<Route> route, Optional<String> workspace) {
         return new RequestTraits(
@@ -34,7 +39,8 @@
                 call.adapter().orElse(NONE),
                 call.inputTokens(),
                 call.maximumOutputTokens(),
-                route.map(Route::objectiveMillis).orElse(-1L));
+                route.map(Route::objectiveMillis).orElse(-1L),
+                call.prompt());
     }
 
     /** Returns alternating keys and values. */
@@ -53,6 +59,18 @@
                 "output_tokens",
                 Long.toString(outputTokens),
                 "objective_ms",
-                Long.toString(objectiveMillis));
+                Long.toString(objectiveMillis),
+                "prompt_parts",
+                formatParts(prompt));
+    }
+
+    /** Formats parts as {@code ID:TOKENS}, joined by plus signs, with hexadecimal ids. */
+    static String formatParts(List<PromptPart> parts) {
+        return parts.isEmpty()
+                ? NONE
+                : parts.stream()
+                        .limit(MAX_LOGGED_PARTS)
+                        .map(part -> Long.toHexString(part.id()) + ':' + part.tokens())
+                        .collect(Collectors.joining("+"));
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
@@ -17,8 +17,12 @@
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
 import org.jackdawbeam.net.codec.MessageMapper;
+import org.tinylog.Logger;
 
-/** Receives messages from other entries. A malformed frame closes only its own connection. */
+/**
+ * Receives messages from other entries. A frame with an invalid length closes its connection; a message that cannot be
+ * decoded, such as one of a kind that only newer builds know, is skipped.
+ */
 public final class PeerServer implements AutoCloseable {
     private static final long READ_TIMEOUT_MILLIS = 30_000;
 
@@ -71,6 +75,7 @@
         private final MessageMapper mapper;
         private final Class<M> messageType;
         private final Consumer<M> consumer;
+        private long skipped;
 
         Receiver(MessageMapper mapper, Class<M> messageType, Consumer<M> consumer) {
             this.mapper = mapper;
@@ -80,7 +85,38 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-            consumer.accept(mapper.read(ByteBufUtil.getBytes(frame), messageType));
+            byte[] bytes = ByteBufUtil.getBytes(frame);
+            M message;
+            try {
+                message = mapper.read(bytes, messageType);
+            } catch (JackdawbeamException e) {
+                skip(context, bytes.length, e);
+                return;
+            }
+            consumer.accept(message);
+        }
+
+        /** Logs the first skipped message of a connection; the line at its end tells how many there were. */
+        private void skip(ChannelHandlerContext context, int length, JackdawbeamException failure) {
+            skipped++;
+            if (skipped == 1) {
+                Logger.warn(
+                        "event=peer_message_skipped peer={} bytes={} reason=\"{}\"",
+                        context.channel().remoteAddress(),
+                        length,
+                        failure.getMessage());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (skipped > 1) {
+                Logger.warn(
+                        "event=peer_messages_skipped peer={} count={}",
+                        context.channel().remoteAddress(),
+                        skipped);
+            }
+            context.fireChannelInactive();
         }
 
         @Override
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -122,6 +122,20 @@
         assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
     }
 
+    @Test
+    void failedAttemptIsLoggedWithItsWaitAndThePartsOfItsPrompt() {
+        fixture.chat("letter", "m1");
+        AttemptId attempt = started();
+        fixture.advance(50);
+
+        failConnection(attempt, true);
+
+        FleetEffect.Note failed = fixture.all(FleetEffect.Note.class).getFirst();
+        assertThat(failed.event()).isEqualTo("attempt_failed");
+        assertThat(failed.fields())
+                .containsSequence("waited_ms", "50", "answer_begun", "false", "prompt_parts", "1:100");
+    }
+
     @Test
     void eventOfAnEarlierAttemptIsIgnored() {
         fixture.call("read");
