--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -23,10 +23,12 @@
 
     private final DispatchFlow dispatch;
     private final TargetLeavingFlow leaving;
+    private final QuarantineFlow quarantine;
 
-    AttemptFlow(DispatchFlow dispatch, TargetLeavingFlow leaving) {
+    AttemptFlow(DispatchFlow dispatch, TargetLeavingFlow leaving, QuarantineFlow quarantine) {
         this.dispatch = dispatch;
         this.leaving = leaving;
+        this.quarantine = quarantine;
     }
 
     FleetState onAnswered(FleetState state, FleetEvent.AttemptAnswered event, List<FleetEffect> effects) {
@@ -73,18 +75,36 @@
     }
 
     /** Learns the prefill speed from the time to the first bytes, which includes the prompts queued before it. */
-    FleetState onStreaming(FleetState state, FleetEvent.AttemptStreaming event) {
+    FleetState onStreaming(FleetState state, FleetEvent.AttemptStreaming event, List<FleetEffect> effects) {
         Optional<FleetRequest> found = findRunning(state, event.attempt());
         if (found.isEmpty()) {
             return state;
         }
         RequestPhase.Running running = (RequestPhase.Running) found.get().phase();
-        FleetState begun = state.with(found.get().withPhase(running.withStreaming()));
+        FleetState begun = recordAnswer(
+                state.with(found.get().withPhase(running.withStreaming())),
+                found.get(),
+                running,
+                event.nowMillis(),
+                effects);
         return findOutstanding(begun, running)
                 .map(attempt -> recordPrefillTime(begun, found.get().service(), running, attempt, event.nowMillis()))
                 .orElse(begun);
     }
 
+    private FleetState recordAnswer(
+            FleetState state,
+            FleetRequest request,
+            RequestPhase.Running running,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        FleetTarget target = state.targets().get(running.target());
+        return findOutstanding(state, running)
+                .map(attempt ->
+                        quarantine.onAnswerBegun(state, request, target, attempt.sentAtMillis(), nowMillis, effects))
+                .orElse(state);
+    }
+
     private static FleetState recordPrefillTime(
             FleetState state,
             String service,
@@ -138,13 +158,29 @@
             return redispatchOrRefuse(state, found.get(), event.nowMillis(), effects);
         }
         FleetState updated = withTarget(
-                state,
+                recordLoss(state, found.get(), event, effects),
                 id,
                 target -> connectionFailed ? target.unreachable(event.nowMillis()) : target.answeredWithError());
         return retryOrRefuse(
                 updated, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
     }
 
+    /** Records a lost connection as evidence against the prompt, if the answer had not begun. */
+    private FleetState recordLoss(
+            FleetState state, FleetRequest request, FleetEvent.AttemptFailed event, List<FleetEffect> effects) {
+        RequestPhase.Running running = (RequestPhase.Running) request.phase();
+        FleetTarget target = state.targets().get(running.target());
+        boolean waited = event.failure() == AttemptFailure.CONNECTION_LOST && event.written() && !running.streaming();
+        if (!waited || target == null) {
+            return state;
+        }
+        return findOutstanding(state, running)
+                .map(attempt ->
+                        quarantine.onEngineLost(state, request, target, attempt.sentAtMillis(), event.nowMillis()))
+                .map(recorded -> quarantine.settle(recorded, event.nowMillis(), effects))
+                .orElse(state);
+    }
+
     /** Dispatches a request again whose attempt was never sent; the target is not blamed. */
     private FleetState redispatchOrRefuse(
             FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
@@ -242,6 +278,7 @@
                         && request.executions() < request.route().maximumAttempts()
                         && (!answered || request.route().kind() == RouteKind.STREAMING);
         return allowed
+                && (request.hasNotRun() || QuarantineFlow.mayRepeat(state, request))
                 && request.attempts() < MAX_ATTEMPTS
                 && retryBudget(state, request.service(), nowMillis).allowsRetry();
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -52,6 +52,16 @@
                     obstacle.get().equals(KEY_WITHDRAWN) ? RefusalCode.KEY_WITHDRAWN : RefusalCode.HOST_ISOLATED;
             return refuse(state, request, refusal(request, code, RETRY_MILLIS), obstacle.get(), effects);
         }
+        QuarantineGate.Result gate =
+                QuarantineGate.check(state, request.call(), request.id(), request.attempts() == 0, nowMillis, effects);
+        if (gate.blocked().isPresent()) {
+            return refuseQuarantined(state, request, gate.blocked().get(), nowMillis, effects);
+        }
+        return dispatchUnblocked(gate.state(), request, nowMillis, effects);
+    }
+
+    private FleetState dispatchUnblocked(
+            FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
         boolean engine = request.call().model().isPresent()
                 && state.configuration()
                         .flatMap(known -> known.engine(request.service()))
@@ -184,6 +194,18 @@
         return refuse(next, request, refusal(request, code, RETRY_MILLIS), reason, effects);
     }
 
+    /** Refuses a request whose prompt contains quarantined parts. */
+    FleetState refuseQuarantined(
+            FleetState state,
+            FleetRequest request,
+            QuarantineGate.Blocked blocked,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        FleetState next = request.hasNotRun() ? quota.refund(state, request, nowMillis, effects) : state;
+        Refusal refusal = refusal(request, RefusalCode.PROMPT_QUARANTINED, blocked.retryAfterMillis());
+        return refuse(next, request, refusal, "quarantined prompt parts " + blocked.parts(), effects);
+    }
+
     static FleetState releaseAttempt(FleetState state, RequestPhase.Running running) {
         FleetTarget target = state.targets().get(running.target());
         return target == null ? state : state.with(target.withoutAttempt(running.attempt()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -14,6 +14,11 @@
 
 /** Reads the configuration, target and member feeds of the platform's store and applies their changes. */
 final class FeedFlow {
+    private final QuarantineFlow quarantine;
+
+    FeedFlow(QuarantineFlow quarantine) {
+        this.quarantine = quarantine;
+    }
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
@@ -130,6 +135,7 @@
                         : FleetTimings.CONFIGURATION_WAIT;
             case TARGETS -> FleetTimings.TARGETS_WAIT;
             case MEMBERS -> FleetTimings.MEMBERS_WAIT;
+            case QUARANTINE -> 0;
         };
     }
 
@@ -140,6 +146,9 @@
             case FeedEntry.TargetRemoved removed -> removeTarget(state, removed.id(), nowMillis, effects);
             case FeedEntry.Member update -> applyMember(state, update.member(), nowMillis, effects);
             case FeedEntry.MemberRemoved removed -> removeMember(state, removed.id(), effects);
+            case FeedEntry.Quarantined quarantined ->
+                quarantine.onStoredEntry(state, quarantined.parts(), nowMillis, effects);
+            case FeedEntry.QuarantineRemoved removed -> state;
             case FeedEntry.Unreadable unreadable -> {
                 effects.add(
                         FleetEffect.Note.of("entry_ignored", "key", unreadable.key(), "reason", unreadable.reason()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.QuarantineReport;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.refusal.Refusal;
 import org.jackdawbeam.model.request.AttemptId;
@@ -36,6 +38,9 @@
     /** Reads the leadership log from an offset. */
     record ReadLeadership(long fromOffset) implements FleetEffect {}
 
+    /** Writes a quarantined group of prompt parts to the store, or removes a released one. */
+    record StoreQuarantine(Set<Long> group, QuarantineReport.QuarantinedParts parts) implements FleetEffect {}
+
     /** Sends a message to another entry. */
     record SendPeerMessage(String address, FleetMessage message) implements FleetEffect {}
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.Feed;
@@ -82,6 +83,12 @@
         record Unknown() implements AppendResult {}
     }
 
+    /** A write of a quarantined group to the store ended. */
+    record QuarantineStored(long nowMillis, Set<Long> group, boolean accepted) implements FleetEvent {}
+
+    /** An operator asked to release a quarantined group of prompt parts. */
+    record ReleaseRequested(long nowMillis, Set<Long> group) implements FleetEvent {}
+
     /** A message from another entry arrived. */
     record PeerReceived(long nowMillis, FleetMessage message) implements FleetEvent {}
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -2,26 +2,29 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.QuarantineReport;
 
 /**
  * Reducer over all events of an entry of a fleet whose targets register themselves in the platform's store. It is a
  * pure function: equal states and events give equal results, so that every failure can be replayed from its events.
  */
 public final class FleetReducer {
-    private final FeedFlow feeds = new FeedFlow();
     private final StoreEraFlow eras = new StoreEraFlow();
     private final QuotaFlow quota = new QuotaFlow();
+    private final AdapterFlow adapters = new AdapterFlow();
+    private final DispatchFlow dispatch = new DispatchFlow(quota, adapters);
+    private final QuarantineFlow quarantine = new QuarantineFlow(dispatch);
+    private final FeedFlow feeds = new FeedFlow(quarantine);
     private final LeadershipFlow leadership = new LeadershipFlow();
     private final PeerFlow peers = new PeerFlow(leadership);
     private final HubFlow hubs = new HubFlow(feeds, leadership);
     private final TargetLeavingFlow leaving = new TargetLeavingFlow();
-    private final AdapterFlow adapters = new AdapterFlow();
     private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow());
-    private final DispatchFlow dispatch = new DispatchFlow(quota, adapters);
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
-    private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving);
+    private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving, quarantine);
     private final StopFlow stop = new StopFlow(peers, dispatch);
 
     /** Returns the state after the event and the effects to execute. */
@@ -54,11 +57,14 @@
             case FleetEvent.LeadershipAppended appended -> leadership.onAppended(state, appended, effects);
             case FleetEvent.LeadershipRead read -> leadership.onRead(state, read, effects);
             case FleetEvent.LeadershipUnreadable unreadable -> leadership.onUnreadable(state, unreadable);
+            case FleetEvent.QuarantineStored stored -> quarantine.onStored(state, stored);
+            case FleetEvent.ReleaseRequested release ->
+                quarantine.onReleaseRequested(state, release.group(), release.nowMillis(), effects);
             case FleetEvent.PeerReceived received -> onPeer(state, received.nowMillis(), received.message(), effects);
             case FleetEvent.RequestArrived arrived -> requests.onArrival(state, arrived, effects);
             case FleetEvent.CallerLeft left -> attempts.onCallerLeft(state, left, effects);
             case FleetEvent.AttemptAnswered answered -> attempts.onAnswered(state, answered, effects);
-            case FleetEvent.AttemptStreaming streaming -> attempts.onStreaming(state, streaming);
+            case FleetEvent.AttemptStreaming streaming -> attempts.onStreaming(state, streaming, effects);
             case FleetEvent.AttemptCompleted completed -> attempts.onCompleted(state, completed);
             case FleetEvent.AttemptFailed failed -> attempts.onFailed(state, failed, effects);
             case FleetEvent.OrderAnswered answered -> {
@@ -81,6 +87,7 @@
         next = peers.tick(next, nowMillis, effects);
         next = hubs.tick(next, nowMillis, effects);
         next = quota.tick(next, nowMillis);
+        next = quarantine.tick(next, nowMillis, effects);
         next = requests.tick(next, nowMillis, effects);
         next = dispatch.expire(next, nowMillis, effects);
         next = placement.tick(next, nowMillis, effects);
@@ -91,13 +98,30 @@
     private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
         return switch (message) {
             case FleetMessage.Digest digest ->
-                adapters.recordUse(
-                        hubs.onDigest(peers.onDigest(state, nowMillis, digest, effects), digest, nowMillis),
+                withQuarantine(
+                        adapters.recordUse(
+                                hubs.onDigest(peers.onDigest(state, nowMillis, digest, effects), digest, nowMillis),
+                                nowMillis,
+                                digest.work()),
+                        digest.sender(),
+                        digest.quarantine(),
                         nowMillis,
-                        digest.work());
-            case FleetMessage.GroupDigest digest -> hubs.onGroupDigest(state, digest, nowMillis, effects);
+                        effects);
+            case FleetMessage.GroupDigest digest ->
+                withQuarantine(
+                        hubs.onGroupDigest(state, digest, nowMillis, effects),
+                        digest.sender(),
+                        digest.quarantine(),
+                        nowMillis,
+                        effects);
             case FleetMessage.Bulletin bulletin ->
-                adapters.recordUse(hubs.onBulletin(state, bulletin, nowMillis, effects), nowMillis, bulletin.work());
+                withQuarantine(
+                        adapters.recordUse(
+                                hubs.onBulletin(state, bulletin, nowMillis, effects), nowMillis, bulletin.work()),
+                        bulletin.sender(),
+                        bulletin.quarantine(),
+                        nowMillis,
+                        effects);
             case FleetMessage.FeedNews update ->
                 dispatch.tick(hubs.onFeedNews(state, update, nowMillis, effects), nowMillis, effects);
             case FleetMessage.ConfigurationEnd end -> hubs.onConfigurationEnd(state, end);
@@ -111,4 +135,14 @@
                 dispatch.tick(peers.onResidency(state, residency, nowMillis), nowMillis, effects);
         };
     }
+
+    private FleetState withQuarantine(
+            FleetState state,
+            String sender,
+            Optional<QuarantineReport> report,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        return report.map(told -> quarantine.onReport(state, sender, told, nowMillis, effects))
+                .orElse(state);
+    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -1,7 +1,9 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.Optional;
+import java.util.Set;
 import org.jackdawbeam.logic.placement.Demand;
+import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetBounds;
 import org.jackdawbeam.model.fleet.FleetConfiguration;
@@ -26,6 +28,8 @@
  * @param typicalPrefillTokens mean number of prompt tokens that an engine had to process for a request, by route
  * @param sent the load information last sent to the peers
  * @param hub state of the hub topology, used in a fleet that is too large for a full mesh
+ * @param quarantine prompt parts that may crash engines
+ * @param storedQuarantine what the store is known to hold of it
  */
 public record FleetState(
         FleetMember self,
@@ -49,7 +53,9 @@
         Announcement announcement,
         StopStage stop,
         SentWork sent,
-        HubState hub) {
+        HubState hub,
+        Quarantine quarantine,
+        PMap<Set<Long>, StoredQuarantine> storedQuarantine) {
     static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last at least three seconds
     private static final double OBJECTIVE_WEIGHT = 0.1; // averages over about ten requests
     private static final double TYPICAL_WEIGHT = 0.05; // averages over about twenty, as prompt lengths differ tenfold
@@ -82,7 +88,9 @@
                 Announcement.PENDING,
                 new StopStage.Serving(),
                 SentWork.none(),
-                HubState.none());
+                HubState.none(),
+                Quarantine.empty(),
+                HashTreePMap.empty());
     }
 
     FleetState with(FleetBounds changed) {
@@ -227,6 +235,22 @@
         return builder.build();
     }
 
+    FleetState with(Quarantine changed) {
+        Builder builder = new Builder(this);
+        builder.quarantine = changed;
+        return builder.build();
+    }
+
+    FleetState withStored(Set<Long> group, StoredQuarantine stored) {
+        return withStoredQuarantine(storedQuarantine.plus(group, stored));
+    }
+
+    FleetState withStoredQuarantine(PMap<Set<Long>, StoredQuarantine> changed) {
+        Builder builder = new Builder(this);
+        builder.storedQuarantine = changed;
+        return builder.build();
+    }
+
     FeedState feed(Feed feed) {
         return feeds.get(feed);
     }
@@ -260,6 +284,8 @@
         private StopStage stop;
         private SentWork sent;
         private HubState hub;
+        private Quarantine quarantine;
+        private PMap<Set<Long>, StoredQuarantine> storedQuarantine;
 
         Builder(FleetState source) {
             self = source.self;
@@ -284,6 +310,8 @@
             stop = source.stop;
             sent = source.sent;
             hub = source.hub;
+            quarantine = source.quarantine;
+            storedQuarantine = source.storedQuarantine;
         }
 
         FleetState build() {
@@ -309,7 +337,9 @@
                     announcement,
                     stop,
                     sent,
-                    hub);
+                    hub,
+                    quarantine,
+                    storedQuarantine);
         }
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -130,7 +130,7 @@
                 FreshnessFlow.confirmGroup(after, read, effects);
             }
         }
-        if (mesh || !confirmsReads || read.feed() == Feed.CONFIGURATION) {
+        if (mesh || !confirmsReads || read.feed() == Feed.CONFIGURATION || read.feed() == Feed.QUARANTINE) {
             return after;
         }
         if (read.newest() || read.entries().isEmpty()) {
@@ -174,11 +174,13 @@
         FeedState progress = state.feed(feed);
         boolean firstRead =
                 progress.nextOffset().isEmpty() || progress.freshAtMillis().isEmpty();
-        if (firstRead) {
-            return true;
+        if (firstRead || feed == Feed.QUARANTINE) {
+            return firstRead;
         }
         if (FleetTimings.isFullMesh(state.memberCount())) {
-            return feed != Feed.CONFIGURATION || FreshnessFlow.readsDirectly(state, nowMillis);
+            return feed == Feed.TARGETS
+                    || feed == Feed.MEMBERS
+                    || feed == Feed.CONFIGURATION && FreshnessFlow.readsDirectly(state, nowMillis);
         }
         if (isHub(state)) {
             return true;
@@ -186,6 +188,7 @@
         boolean hubIsSilent = nowMillis - state.hub().heardAtMillis() > hubTimeoutMillis();
         return switch (feed) {
             case CONFIGURATION -> state.hub().behind() || !progress.isFresh(nowMillis, FleetTimings.DIRECT_READ_AGE);
+            case QUARANTINE -> false;
             case TARGETS, MEMBERS -> hubIsSilent && !progress.isFresh(nowMillis, FleetTimings.DIRECT_READ_AGE);
         };
     }
@@ -228,7 +231,7 @@
     }
 
     private FleetState publish(FleetState state, Digest own, long nowMillis, List<FleetEffect> effects) {
-        GroupDigest group = groupDigest(state, own);
+        GroupDigest group = groupDigest(state, own, nowMillis);
         otherHubs(state, nowMillis).forEach(hub -> send(state, hub, group, effects));
         List<GroupDigest> all = new ArrayList<>(List.of(group));
         state.hub().groups().values().forEach(heard -> all.add(heard.message()));
@@ -237,11 +240,11 @@
         List<MemberStatus> changed = published.fullAtMillis() == nowMillis
                 ? List.copyOf(statuses.values())
                 : changedSince(state.hub().published(), statuses);
-        Bulletin full = bulletin(state, statuses.keySet(), changed, all);
+        Bulletin full = bulletin(state, statuses.keySet(), changed, all, nowMillis);
         List<TargetWork> work = full.work().stream()
                 .map(item -> new TargetWork(item.target(), item.running(), item.unreadTokens(), Set.of()))
                 .toList();
-        Bulletin brief = new Bulletin(full.sender(), full.present(), changed, work, List.of());
+        Bulletin brief = new Bulletin(full.sender(), full.present(), changed, work, List.of(), full.quarantine());
         for (HubState.Received<Digest> member : state.hub().group().values()) {
             boolean isLeader = member.message().leadership().isPresent();
             effects.add(
@@ -293,7 +296,7 @@
         return hubs;
     }
 
-    private static GroupDigest groupDigest(FleetState state, Digest own) {
+    private static GroupDigest groupDigest(FleetState state, Digest own, long nowMillis) {
         List<Digest> digests = new ArrayList<>(List.of(own));
         state.hub().group().values().forEach(heard -> digests.add(heard.message()));
         List<MemberStatus> members = digests.stream()
@@ -304,7 +307,7 @@
                         .flatMap(digest -> digest.demand().stream())
                         .toList())
                 .values());
-        return new GroupDigest(state.self().id(), members, work, demand);
+        return new GroupDigest(state.self().id(), members, work, demand, PeerFlow.quarantine(state, nowMillis));
     }
 
     private static Map<String, MemberStatus> statuses(List<GroupDigest> groups) {
@@ -315,13 +318,18 @@
     }
 
     private static Bulletin bulletin(
-            FleetState state, Set<String> present, List<MemberStatus> changed, List<GroupDigest> groups) {
+            FleetState state,
+            Set<String> present,
+            List<MemberStatus> changed,
+            List<GroupDigest> groups,
+            long nowMillis) {
         List<TargetWork> work = sumOfWork(groups.stream().flatMap(group -> group.work().stream()));
         List<ModelDemand> demand = List.copyOf(PeerFlow.sumOfDemand(groups.stream()
                         .flatMap(group -> group.demand().stream())
                         .toList())
                 .values());
-        return new Bulletin(state.self().id(), Set.copyOf(present), changed, work, demand);
+        return new Bulletin(
+                state.self().id(), Set.copyOf(present), changed, work, demand, PeerFlow.quarantine(state, nowMillis));
     }
 
     private static List<TargetWork> sumOfWork(Stream<TargetWork> work) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -11,12 +11,15 @@
 import org.jackdawbeam.model.fleet.FleetMessage.Digest;
 import org.jackdawbeam.model.fleet.FleetMessage.ModelDemand;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
+import org.jackdawbeam.model.fleet.QuarantineReport;
 
 /** Exchanges heartbeats and load information with the other entries. */
 final class PeerFlow {
     /** Longer than a restart takes, so that the quota share of a restarting member stays reserved. */
     private static final long LOST_AFTER_MILLIS = 12_000;
 
+    private static final long FULL_QUARANTINE_INTERVAL_HEARTBEATS = 16; // about four seconds
+
     private final LeadershipFlow leadership;
 
     PeerFlow(LeadershipFlow leadership) {
@@ -90,6 +93,7 @@
         if (newIncarnation) {
             effects.add(FleetEffect.Note.of("peer_heard", "member", digest.sender()));
             effects.addAll(residencies(next, digest.member().peerAddress(), nowMillis));
+            next = next.with(next.quarantine().touch(nowMillis));
         }
         if (digest.leadership().isPresent()) {
             next = leadership.onClaim(next, nowMillis, digest.leadership().get(), effects);
@@ -179,7 +183,16 @@
                 !(state.stop() instanceof StopStage.Serving),
                 LeadershipFlow.claim(state, nowMillis),
                 work(state),
-                ownDemand(state, nowMillis));
+                ownDemand(state, nowMillis),
+                quarantine(state, nowMillis));
+    }
+
+    /** Returns what to tell of the quarantine with a heartbeat: recent changes, and everything now and then. */
+    static Optional<QuarantineReport> quarantine(FleetState state, long nowMillis) {
+        long heartbeat = nowMillis / FleetTimings.heartbeatMillis(state.memberCount());
+        QuarantineReport report =
+                state.quarantine().report(heartbeat % FULL_QUARANTINE_INTERVAL_HEARTBEATS == 0, nowMillis);
+        return report.equals(QuarantineReport.empty()) ? Optional.empty() : Optional.of(report);
     }
 
     /** Removes members that have been silent for long; a removed member that is alive announces itself again. */
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
@@ -0,0 +1,213 @@
+package org.jackdawbeam.logic.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.jackdawbeam.logic.quarantine.Incarnation;
+import org.jackdawbeam.logic.quarantine.Quarantine;
+import org.jackdawbeam.logic.quarantine.QuarantineEntry;
+import org.jackdawbeam.model.fleet.QuarantineReport;
+import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
+import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.refusal.RefusalCode;
+
+/**
+ * Collects evidence on prompt parts that crash engines, exchanges it with the other entries, and keeps the quarantined
+ * groups in the store, from which an entry that has just started reads them.
+ */
+final class QuarantineFlow {
+    private static final long STORE_RETRY_MILLIS = 1_000;
+    private static final int MAX_LOSSES_BEFORE_REPEAT = 1; // a second loss under the same part is no coincidence
+
+    private final DispatchFlow dispatch;
+
+    QuarantineFlow(DispatchFlow dispatch) {
+        this.dispatch = dispatch;
+    }
+
+    /** Records that a request has lost the connection to its engine before the first byte of its answer. */
+    FleetState onEngineLost(
+            FleetState state, FleetRequest request, FleetTarget target, long sentAtMillis, long nowMillis) {
+        List<Long> parts = QuarantineGate.sharedParts(request.call());
+        if (parts.isEmpty() || target.isLeaving()) {
+            return state;
+        }
+        Quarantine changed = state.quarantine()
+                .withLoss(
+                        incarnation(target),
+                        request.call().callerRequestId().hashCode(),
+                        sentAtMillis,
+                        parts,
+                        nowMillis);
+        return state.with(changed).with(state.sent().withDigestDue());
+    }
+
+    /** Quarantines what the evidence requires, after it has changed. */
+    FleetState settle(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Quarantine before = state.quarantine();
+        return apply(before, state.with(before.withNewGroups(nowMillis)), "own", nowMillis, effects);
+    }
+
+    /** Records that an engine has begun to write the answer of a request. */
+    FleetState onAnswerBegun(
+            FleetState state,
+            FleetRequest request,
+            FleetTarget target,
+            long sentAtMillis,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        List<Long> parts = QuarantineGate.sharedParts(request.call());
+        if (parts.isEmpty()) {
+            return state;
+        }
+        Quarantine before = state.quarantine();
+        Quarantine changed = before.withAnswer(incarnation(target), sentAtMillis, parts, nowMillis);
+        return apply(before, state.with(changed), "answer", nowMillis, effects);
+    }
+
+    /** Merges what another entry knows. */
+    FleetState onReport(
+            FleetState state, String sender, QuarantineReport report, long nowMillis, List<FleetEffect> effects) {
+        if (report.losses().isEmpty() && report.quarantined().isEmpty()) {
+            return state;
+        }
+        Quarantine before = state.quarantine();
+        Quarantine changed = before.merge(report, nowMillis).withNewGroups(nowMillis);
+        return apply(before, state.with(changed), sender, nowMillis, effects);
+    }
+
+    /** Adds a quarantined group that the store holds. */
+    FleetState onStoredEntry(FleetState state, QuarantinedParts stored, long nowMillis, List<FleetEffect> effects) {
+        Set<Long> group = Set.copyOf(stored.parts());
+        FleetState known = state.withStored(group, new StoredQuarantine(stored.trials(), false, true, nowMillis));
+        Quarantine before = state.quarantine();
+        return apply(
+                before, known.with(before.withStored(group, stored.trials(), nowMillis)), "store", nowMillis, effects);
+    }
+
+    /** Releases a quarantined group at the request of an operator. */
+    FleetState onReleaseRequested(FleetState state, Set<Long> group, long nowMillis, List<FleetEffect> effects) {
+        Quarantine before = state.quarantine();
+        return apply(before, state.with(before.withReleased(group, nowMillis)), "operator", nowMillis, effects);
+    }
+
+    FleetState onStored(FleetState state, FleetEvent.QuarantineStored event) {
+        StoredQuarantine written = state.storedQuarantine().get(event.group());
+        return written != null && event.accepted()
+                ? state.withStored(
+                        event.group(),
+                        new StoredQuarantine(written.trials(), written.released(), true, event.nowMillis()))
+                : state;
+    }
+
+    FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        Quarantine quarantine = state.quarantine();
+        if (quarantine.losses().isEmpty() && quarantine.entries().isEmpty()) {
+            return state;
+        }
+        FleetState next = state.with(quarantine.expire(nowMillis));
+        for (Map.Entry<Set<Long>, QuarantineEntry> entry :
+                next.quarantine().entries().entrySet()) {
+            next = store(next, entry.getKey(), entry.getValue(), nowMillis, effects);
+        }
+        return next;
+    }
+
+    /** Returns whether a request may be repeated at another engine after its engine was lost. */
+    static boolean mayRepeat(FleetState state, FleetRequest request) {
+        List<Long> parts = QuarantineGate.sharedParts(request.call());
+        return state.quarantine().countLosses(parts) <= MAX_LOSSES_BEFORE_REPEAT;
+    }
+
+    /** Writes a group to the store if this entry is responsible for it and the store does not hold its latest state. */
+    private static FleetState store(
+            FleetState state, Set<Long> group, QuarantineEntry entry, long nowMillis, List<FleetEffect> effects) {
+        StoredQuarantine stored = state.storedQuarantine().get(group);
+        boolean neverStored = stored == null && entry.released();
+        boolean upToDate =
+                stored != null && stored.matches(entry) && (stored.confirmed() || nowMillis < stored.retryAtMillis());
+        if (neverStored || upToDate || !QuotaFlow.isFirst(state, QuarantineGate.format(group), nowMillis)) {
+            return state;
+        }
+        effects.add(new FleetEffect.StoreQuarantine(
+                group, new QuarantinedParts(List.copyOf(new TreeSet<>(group)), entry.trials(), entry.released(), 0)));
+        return state.withStored(
+                group, new StoredQuarantine(entry.trials(), entry.released(), false, nowMillis + STORE_RETRY_MILLIS));
+    }
+
+    /** Logs what has changed, tells it to the other entries, and ends attempts with newly quarantined parts. */
+    private FleetState apply(
+            Quarantine before, FleetState state, String source, long nowMillis, List<FleetEffect> effects) {
+        Quarantine after = state.quarantine();
+        if (after.entries() == before.entries()) {
+            return state;
+        }
+        boolean news = false;
+        boolean added = false;
+        for (Map.Entry<Set<Long>, QuarantineEntry> entry : after.entries().entrySet()) {
+            QuarantineEntry known = before.entries().get(entry.getKey());
+            boolean wasActive = known != null && !known.released();
+            boolean isActive = !entry.getValue().released();
+            news |= wasActive != isActive;
+            added |= isActive && !wasActive;
+            if (wasActive != isActive) {
+                effects.add(note(after, entry.getKey(), entry.getValue(), source, nowMillis));
+            }
+        }
+        FleetState told = news ? state.with(state.sent().withDigestDue()) : state;
+        return added ? cancelAttempts(told, nowMillis, effects) : told;
+    }
+
+    private static FleetEffect.Note note(
+            Quarantine quarantine, Set<Long> group, QuarantineEntry entry, String source, long nowMillis) {
+        return FleetEffect.Note.of(
+                entry.released() ? "prompt_parts_released" : "prompt_parts_quarantined",
+                "prompt_parts",
+                QuarantineGate.format(group),
+                "learned_from",
+                source,
+                "trials",
+                entry.trials(),
+                "next_trial_ms",
+                entry.nextTrialAtMillis() - nowMillis,
+                "engines_lost",
+                String.join("+", quarantine.enginesLostWith(group)));
+    }
+
+    /** Ends attempts that wait for the first byte of their answers, so that they crash no further engine. */
+    private FleetState cancelAttempts(FleetState state, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = state;
+        for (FleetRequest request : state.requests().values()) {
+            boolean waits = request.phase() instanceof RequestPhase.Running running && !running.streaming();
+            if (waits
+                    && !state.quarantine()
+                            .findGroups(QuarantineGate.sharedParts(request.call()))
+                            .isEmpty()) {
+                next = cancelAttempt(next, request, (RequestPhase.Running) request.phase(), effects);
+            }
+        }
+        return next;
+    }
+
+    private FleetState cancelAttempt(
+            FleetState state, FleetRequest request, RequestPhase.Running running, List<FleetEffect> effects) {
+        String reason = "prompt parts quarantined during the attempt at " + running.target();
+        FleetState released = DispatchFlow.releaseAttempt(state, running);
+        effects.add(new FleetEffect.CancelAttempt(running.attempt()));
+        if (request.callerLeft()) {
+            effects.add(
+                    new FleetEffect.ForgetRequest(request.id(), request.call().callerRequestId()));
+            return released.without(request);
+        }
+        if (running.answered()) {
+            effects.add(new FleetEffect.BreakAnswer(request.id(), request.call().callerRequestId(), reason));
+            return released.without(request);
+        }
+        return dispatch.refuse(released, request, Refusal.unknown(RefusalCode.TARGET_FAILED), reason, effects);
+    }
+
+    private static Incarnation incarnation(FleetTarget target) {
+        return new Incarnation(target.description().id(), target.description().startedAtMillis());
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -124,6 +124,11 @@
         return new Decision(state.with(workspace.name(), bucket), new Verdict.Denied(wait));
     }
 
+    /** Returns whether this entry is the first of the reachable members that are not leaving, in the order of a key. */
+    static boolean isFirst(FleetState state, String key, long nowMillis) {
+        return ranking(state, key, nowMillis).getFirst().member().equals(state.self());
+    }
+
     private static List<FleetPeer> reachable(FleetState state, long nowMillis) {
         long timeoutMillis = FleetTimings.peerTimeoutMillis(state.memberCount());
         List<FleetPeer> members = new ArrayList<>();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -90,7 +90,13 @@
                 HashTreePSet.empty(),
                 false,
                 new RequestPhase.AwaitingQuota(0, event.nowMillis()));
-        FleetState credited = AttemptFlow.creditRetries(state, service, event.nowMillis());
+        QuarantineGate.Result gate = QuarantineGate.check(state, call, request.id(), true, event.nowMillis(), effects);
+        if (gate.blocked().isPresent()) {
+            QuarantineGate.Blocked blocked = gate.blocked().get();
+            Refusal refusal = Refusal.notRun(RefusalCode.PROMPT_QUARANTINED, blocked.retryAfterMillis());
+            return refuse(state, event, refusal, "quarantined prompt parts " + blocked.parts(), effects);
+        }
+        FleetState credited = AttemptFlow.creditRetries(gate.state(), service, event.nowMillis());
         FleetState counted = dispatch.countDemand(credited, request, event.nowMillis());
         if (workspace.isEmpty() || !workspace.get().limited()) {
             return dispatch.dispatch(counted.with(request), request, event.nowMillis(), effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/SentWork.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/SentWork.java
@@ -15,4 +15,9 @@
     static SentWork none() {
         return new SentWork(0, 0, List.of());
     }
+
+    /** Returns the state in which the next heartbeat is due at once. */
+    SentWork withDigestDue() {
+        return new SentWork(0, noticeAtMillis, work);
+    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StoreEraFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StoreEraFlow.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import org.jackdawbeam.model.fleet.Feed;
+import org.pcollections.HashTreePMap;
 
 /**
  * Handles a store that was restored from an older backup: re-reads all feeds from their newest entries, announces this
@@ -35,7 +36,8 @@
         long nextCallAt = nowMillis + Math.floorMod(state.self().incarnation().hashCode(), READ_SPREAD_MILLIS);
         FleetState next = state.with(new StoreEra(OptionalLong.of(event.era()), nowMillis, false))
                 .with(Leadership.unknown().withNextCallAt(nextCallAt))
-                .with(Announcement.PENDING);
+                .with(Announcement.PENDING)
+                .withStoredQuarantine(HashTreePMap.empty());
         for (Feed feed : Feed.values()) {
             next = next.with(feed, next.feed(feed).restored(nowMillis, nextCallAt));
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/Feed.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/Feed.java
@@ -7,5 +7,7 @@
     /** The list of targets. */
     TARGETS,
     /** The entry hosts. */
-    MEMBERS
+    MEMBERS,
+    /** The quarantined prompt parts; read once after the start. */
+    QUARANTINE
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FeedEntry.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FeedEntry.java
@@ -18,6 +18,12 @@
     /** An entry host has left. */
     record MemberRemoved(String id) implements FeedEntry {}
 
+    /** A quarantined group of prompt parts. */
+    record Quarantined(QuarantineReport.QuarantinedParts parts) implements FeedEntry {}
+
+    /** A group of prompt parts is no longer quarantined. */
+    record QuarantineRemoved(String key) implements FeedEntry {}
+
     /** An entry that cannot be decoded; other entries remain valid. */
     record Unreadable(String key, String reason) implements FeedEntry {}
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -21,6 +21,7 @@
      * @param leadership proof that the sender holds the placement duty; empty otherwise
      * @param work requests that the sender has in flight at targets
      * @param demand requested prompt tokens per second, by service and model
+     * @param quarantine recent changes of what the sender knows of prompt parts that may crash engines; empty if none
      */
     record Digest(
             String sender,
@@ -30,8 +31,13 @@
             boolean leaving,
             Optional<LeadershipClaim> leadership,
             List<TargetWork> work,
-            List<ModelDemand> demand)
-            implements FleetMessage {}
+            List<ModelDemand> demand,
+            Optional<QuarantineReport> quarantine)
+            implements FleetMessage {
+        public Digest {
+            quarantine = presentOrEmpty(quarantine);
+        }
+    }
 
     /**
      * Status of an entry as reported by other entries.
@@ -48,9 +54,19 @@
      *
      * @param work work by target, summed over the entries
      * @param demand demand by model, summed over the entries
+     * @param quarantine as in {@link Digest}
      */
-    record GroupDigest(String sender, List<MemberStatus> members, List<TargetWork> work, List<ModelDemand> demand)
-            implements FleetMessage {}
+    record GroupDigest(
+            String sender,
+            List<MemberStatus> members,
+            List<TargetWork> work,
+            List<ModelDemand> demand,
+            Optional<QuarantineReport> quarantine)
+            implements FleetMessage {
+        public GroupDigest {
+            quarantine = presentOrEmpty(quarantine);
+        }
+    }
 
     /**
      * Status of the whole fleet, sent by a hub to the entries that report to it.
@@ -59,14 +75,20 @@
      * @param changed members that are new or have changed since the sender's latest bulletin; periodically all members
      * @param work work by target of all entries, including the receiver
      * @param demand demand by model; sent only to the holder of the placement duty
+     * @param quarantine as in {@link Digest}
      */
     record Bulletin(
             String sender,
             Set<String> present,
             List<MemberStatus> changed,
             List<TargetWork> work,
-            List<ModelDemand> demand)
-            implements FleetMessage {}
+            List<ModelDemand> demand,
+            Optional<QuarantineReport> quarantine)
+            implements FleetMessage {
+        public Bulletin {
+            quarantine = presentOrEmpty(quarantine);
+        }
+    }
 
     /**
      * Feed entries that a hub has read from the store.
@@ -162,4 +184,9 @@
      * @param startedAtMillis Unix time of the target's start; the message does not apply to a later start
      */
     record TargetLeaving(String sender, String target, long startedAtMillis) implements FleetMessage {}
+
+    /** Returns the value, or empty if an older build has sent the message without it. */
+    private static <T> Optional<T> presentOrEmpty(Optional<T> value) {
+        return value == null ? Optional.empty() : value;
+    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/RefusalWriter.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/RefusalWriter.java
@@ -74,6 +74,7 @@
             case NOT_READY -> "no configuration is in force yet";
             case HOST_ISOLATED -> "this host has lost contact; use another one";
             case PLATFORM_LOG_UNAVAILABLE -> "the platform's log cannot be reached";
+            case PROMPT_QUARANTINED -> "engines have crashed under a part of the prompt";
             case TARGET_FAILED -> "the target failed";
             case OUTCOME_UNKNOWN -> "a target may have executed the request";
             case DEADLINE_EXCEEDED -> "no target could answer before the deadline";
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -191,7 +191,8 @@
     }
 
     private void forward(ChannelHandlerContext context, ByteBuf bytes) {
-        if (!bodyStarted) {
+        boolean success = HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
+        if (!bodyStarted && success) {
             bodyStarted = true;
             loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EffectFailureEvents.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EffectFailureEvents.java
@@ -22,6 +22,8 @@
                 Optional.of(
                         new FleetEvent.LeadershipAppended(nowMillis, nowMillis, new FleetEvent.AppendResult.Unknown()));
             case FleetEffect.ReadLeadership read -> Optional.of(new FleetEvent.LeadershipUnreadable(nowMillis));
+            case FleetEffect.StoreQuarantine store ->
+                Optional.of(new FleetEvent.QuarantineStored(nowMillis, store.group(), false));
             case FleetEffect.StartAttempt start ->
                 Optional.of(
                         new FleetEvent.AttemptFailed(nowMillis, start.attempt(), AttemptFailure.CONNECT_FAILED, true));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetEffects.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetEffects.java
@@ -48,6 +48,7 @@
             case FleetEffect.Withdraw withdraw -> platform.withdraw(withdraw.memberId());
             case FleetEffect.AppendLeadership append -> platform.appendLeadership(append, loop::submit);
             case FleetEffect.ReadLeadership read -> platform.readLeadership(read, loop::submit);
+            case FleetEffect.StoreQuarantine store -> platform.storeQuarantine(store, loop::submit);
             case FleetEffect.SendPeerMessage send -> peers.send(send.address(), send.message());
             case FleetEffect.StartAttempt start -> relay.start(start);
             case FleetEffect.RelayAnswer answer -> relay.relay(answer.attempt());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -37,6 +37,8 @@
     private final Gauge configurationVersion;
     private final Gauge placementDuty;
     private final Gauge peers;
+    private final Gauge quarantinedParts;
+    private final Gauge suspectedLosses;
     private final Gauge droppedLogLines;
     private final Map<AttemptId, Long> startedAt = new HashMap<>();
 
@@ -59,6 +61,10 @@
         this.configurationVersion = gauge("jackdawbeam_configuration_version", "Version in force.");
         this.placementDuty = gauge("jackdawbeam_placement_duty", "1 while this entry gives orders to engines.");
         this.peers = gauge("jackdawbeam_peers", "Other entries that are known.");
+        this.quarantinedParts =
+                gauge("jackdawbeam_quarantined_parts", "Groups of prompt parts that are not sent to engines.");
+        this.suspectedLosses = gauge(
+                "jackdawbeam_suspected_losses", "Recent losses of engines under requests that waited for answers.");
         this.droppedLogLines = gauge("jackdawbeam_log_lines_left_out", "Log lines that were not written.");
     }
 
@@ -97,6 +103,8 @@
                 state.configuration().ifPresent(known -> configurationVersion.set(known.version()));
                 placementDuty.set(state.leadership().fencingToken().isPresent() ? 1 : 0);
                 peers.set(state.peers().size());
+                quarantinedParts.set(state.quarantine().activeGroups().size());
+                suspectedLosses.set(state.quarantine().losses().size());
             }
             default -> {
                 // Other events are counted through their effects.
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetPlatform.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetPlatform.java
@@ -27,6 +27,9 @@
     /** Results in {@link FleetEvent.LeadershipRead} or {@link FleetEvent.LeadershipUnreadable}. */
     void readLeadership(FleetEffect.ReadLeadership read, Consumer<FleetEvent> events);
 
+    /** Results in {@link FleetEvent.QuarantineStored}. */
+    void storeQuarantine(FleetEffect.StoreQuarantine store, Consumer<FleetEvent> events);
+
     /** Results in {@link FleetEvent.OrderAnswered}. */
     void sendOrder(EngineOrder order, Consumer<FleetEvent> events);
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -17,9 +17,11 @@
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.PromptPart;
+import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.refusal.Refusal;
+import org.jackdawbeam.model.refusal.RefusalCode;
 import org.jackdawbeam.model.request.AttemptFailure;
 import org.jackdawbeam.model.request.AttemptId;
 
@@ -40,6 +42,7 @@
     final List<Arrival> arrivals = new ArrayList<>();
     final Map<String, Outcome> outcomes = new TreeMap<>();
     final Set<Long> crashingParts = new HashSet<>();
+    private final Map<Set<Long>, QuarantinedParts> stored = new HashMap<>();
     private final FleetReducer reducer = new FleetReducer();
     private final Map<String, FleetState> states = new TreeMap<>();
     private final Map<String, String> idByAddress = new HashMap<>();
@@ -128,9 +131,19 @@
                 member.id(),
                 read(Feed.CONFIGURATION, new FeedEntry.Configuration(FleetFixture.generousConfiguration(1))));
         apply(member.id(), read(Feed.TARGETS, listedEngines()));
+        apply(
+                member.id(),
+                read(
+                        Feed.QUARANTINE,
+                        stored.values().stream().map(FeedEntry.Quarantined::new).toArray(FeedEntry[]::new)));
+    }
+
+    /** Sends requests to random entries without crashing parts. */
+    void load(long millis, int perSecond) {
+        load(millis, perSecond, 0, 0);
     }
 
-    /** Sends requests to random entries; the given share carries the crashing part. */
+    /** Sends requests to random entries; the given share carries the part, at a random place before the last part. */
     void load(long millis, int perSecond, double crashingShare, long crashingPart) {
         double interval = 1_000.0 / perSecond;
         for (double at = 0; at < millis; at += interval) {
@@ -206,6 +219,28 @@
         }
     }
 
+    Set<Set<Long>> stored() {
+        return stored.keySet();
+    }
+
+    long refusedAsQuarantined(boolean crashing) {
+        return outcomes.values().stream()
+                .filter(outcome -> outcome.crashing() == crashing)
+                .filter(outcome -> outcome.refusal()
+                        .filter(refusal -> refusal.code() == RefusalCode.PROMPT_QUARANTINED)
+                        .isPresent())
+                .count();
+    }
+
+    /** Returns the share of sound requests that arrived from the given time on and were answered. */
+    double answeredShare(long fromMillis, long untilMillis) {
+        List<Outcome> sound = outcomes.values().stream()
+                .filter(outcome -> !outcome.crashing())
+                .filter(outcome -> outcome.arrivedAtMillis() >= fromMillis && outcome.arrivedAtMillis() < untilMillis)
+                .toList();
+        return sound.stream().filter(Outcome::answered).count() / (double) sound.size();
+    }
+
     private void tick() {
         for (String entry : entries()) {
             apply(entry, read(Feed.CONFIGURATION));
@@ -234,6 +269,14 @@
                         refuse.callerRequestId(),
                         (id, known) -> new Outcome(
                                 known.crashing(), known.arrivedAtMillis(), false, Optional.of(refuse.refusal())));
+            case FleetEffect.StoreQuarantine store -> {
+                if (store.parts().released()) {
+                    stored.remove(store.group());
+                } else {
+                    stored.put(store.group(), store.parts());
+                }
+                after(5, () -> apply(entry, new FleetEvent.QuarantineStored(nowMillis, store.group(), true)));
+            }
             default -> {
                 // Other effects do not matter for engines that crash.
             }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -172,7 +172,8 @@
 
     void receiveHeartbeat(String peer) {
         FleetMember member = member(peer);
-        receive(new FleetMessage.Digest(peer, member, 0, true, false, Optional.empty(), List.of(), List.of()));
+        receive(new FleetMessage.Digest(
+                peer, member, 0, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
     }
 
     void receive(FleetMessage message) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FreshnessFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FreshnessFlowTest.java
@@ -22,7 +22,15 @@
 
     private void heartbeat(FleetMember member, long stampMillis) {
         fixture.receive(new FleetMessage.Digest(
-                member.id(), member, stampMillis, true, false, Optional.empty(), List.of(), List.of()));
+                member.id(),
+                member,
+                stampMillis,
+                true,
+                false,
+                Optional.empty(),
+                List.of(),
+                List.of(),
+                Optional.empty()));
     }
 
     private List<FleetMessage.ConfigurationEnd> confirmations() {
@@ -93,7 +101,15 @@
         FleetState next = state;
         for (String id : List.of("A1", "A2")) {
             FleetMessage.Digest digest = new FleetMessage.Digest(
-                    id, FleetFixture.member(id), 0, true, false, Optional.empty(), List.of(), List.of());
+                    id,
+                    FleetFixture.member(id),
+                    0,
+                    true,
+                    false,
+                    Optional.empty(),
+                    List.of(),
+                    List.of(),
+                    Optional.empty());
             next = next.withPeers(next.peers().plus(id, FleetPeer.fromDigest(digest, fixture.nowMillis)));
         }
         return next.with(Feed.CONFIGURATION, next.feed(Feed.CONFIGURATION).confirmed(fixture.nowMillis));
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -34,7 +34,7 @@
     }
 
     private void bulletin(String sender, List<TargetWork> work) {
-        fixture.receive(new FleetMessage.Bulletin(sender, Set.of(), List.of(), work, List.of()));
+        fixture.receive(new FleetMessage.Bulletin(sender, Set.of(), List.of(), work, List.of(), Optional.empty()));
     }
 
     private List<String> heartbeatReceivers() {
@@ -119,8 +119,8 @@
     @Test
     void hubSendsBulletinsToItsGroup() {
         FleetMember reporter = member(3);
-        fixture.receive(
-                new FleetMessage.Digest("m3", reporter, 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.receive(new FleetMessage.Digest(
+                "m3", reporter, 77, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
 
         fixture.advance(FleetTimings.GROUP_HEARTBEAT_INTERVAL);
 
@@ -134,8 +134,8 @@
     void hubConfirmsOnlyHeartbeatsReceivedBeforeItsRead() {
         long askedAt = fixture.nowMillis;
         fixture.nowMillis += 10;
-        fixture.receive(
-                new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.receive(new FleetMessage.Digest(
+                "m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
 
         fixture.read(Feed.CONFIGURATION, askedAt);
         assertThat(fixture.all(FleetEffect.SendPeerMessage.class)).isEmpty();
@@ -176,8 +176,8 @@
 
     @Test
     void hubRelaysChangedTargetsOnly() {
-        fixture.receive(
-                new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.receive(new FleetMessage.Digest(
+                "m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
         fixture.listTargets(engineWithOrderCount("e1", 1), engineWithOrderCount("e2", 1));
         FeedEntry leaving = new FeedEntry.Target(
                 new TargetDescription("e2", "engines", "10.0.0.1:1", "zone-1", 64, true, Set.of("m1"), Set.of(), 7, 1));
@@ -189,8 +189,8 @@
 
     @Test
     void hubRelaysAllTargetsPeriodically() {
-        fixture.receive(
-                new FleetMessage.Digest("m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of()));
+        fixture.receive(new FleetMessage.Digest(
+                "m3", member(3), 77, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
         fixture.listTargets(engineWithOrderCount("e1", 1));
         fixture.nowMillis += 3_000;
 
@@ -220,8 +220,8 @@
     void hubRelaysLeavingTargetOnce() {
         for (String reporter : List.of("m1", "m2")) {
             FleetMember member = member(Integer.parseInt(reporter.substring(1)));
-            fixture.receive(
-                    new FleetMessage.Digest(reporter, member, 0, true, false, Optional.empty(), List.of(), List.of()));
+            fixture.receive(new FleetMessage.Digest(
+                    reporter, member, 0, true, false, Optional.empty(), List.of(), List.of(), Optional.empty()));
         }
         FleetMessage notice = new FleetMessage.TargetLeaving("m1", "e1", 7);
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
@@ -33,7 +33,7 @@
     void directoryOmitsLeavingPeer() {
         fixture.receiveHeartbeat("b");
         var leaving = new FleetMessage.Digest(
-                "b", FleetFixture.member("b"), 0, true, true, Optional.empty(), List.of(), List.of());
+                "b", FleetFixture.member("b"), 0, true, true, Optional.empty(), List.of(), List.of(), Optional.empty());
 
         fixture.receive(leaving);
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/BulletinSizeTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/BulletinSizeTest.java
@@ -39,7 +39,8 @@
         List<TargetWork> work = IntStream.range(0, TARGETS)
                 .mapToObj(number -> new TargetWork("i-188892ee" + number, 12, 3_000, Set.of()))
                 .toList();
-        FleetMessage bulletin = new FleetMessage.Bulletin("front-1", present, changed, work, List.of());
+        FleetMessage bulletin =
+                new FleetMessage.Bulletin("front-1", present, changed, work, List.of(), Optional.empty());
         return MessageMapper.messagePack().write(bulletin).length;
     }
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetLoopTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetLoopTest.java
@@ -109,7 +109,8 @@
 
         loop.submit(new FleetEvent.PeerReceived(
                 loop.nowMillis(),
-                new FleetMessage.Digest("b", null, 0, true, false, Optional.empty(), List.of(), List.of())));
+                new FleetMessage.Digest(
+                        "b", null, 0, true, false, Optional.empty(), List.of(), List.of(), Optional.empty())));
         Thread.sleep(SEVERAL_TICKS_MILLIS);
 
         assertThat(group.next().submit(loop::state).get().peers()).isEqualTo(before.peers());
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/FleetSite.java
@@ -4,10 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.net.codec.MessageMapper;
@@ -34,11 +36,15 @@
     private static final long REGISTRATION_EXPIRY_MILLIS = 3 * REGISTRATION_INTERVAL_MILLIS; // as the store does
     private static final int THREADS = 2;
 
+    private static final long PROMPT_CRASH_RESTART_MILLIS = 500;
+
     private final List<StandInServer> servers = new CopyOnWriteArrayList<>();
     private final List<TargetStandIn> targets = new CopyOnWriteArrayList<>();
     private final Map<Integer, Long> crashedAtMillis = new ConcurrentHashMap<>();
     private final Map<Integer, String> advertisedAddresses = new ConcurrentHashMap<>();
     private final TargetLedger ledger = new TargetLedger();
+    private final AtomicInteger promptCrashes = new AtomicInteger();
+    private volatile Optional<String> crashingPart = Optional.empty();
     private final LogStoreStandIn store;
     private final StandInServer storeServer;
 
@@ -115,6 +121,37 @@
         }
     }
 
+    /**
+     * Makes engines crash that begin to answer a prompt with the given part before its last one. They start again with
+     * the same models.
+     *
+     * @param part id of the part as in the prompt header; empty to answer all prompts again
+     */
+    public void crashAtPart(Optional<String> part) {
+        crashingPart = part;
+        for (int number = 0; number < targets.size(); number++) {
+            crashAtPart(number);
+        }
+    }
+
+    /** Returns how often an engine has crashed under a prompt. */
+    public int promptCrashes() {
+        return promptCrashes.get();
+    }
+
+    private void crashAtPart(int number) {
+        TargetStandIn target = targets.get(number);
+        crashingPart.ifPresentOrElse(
+                part -> target.crashAt(part, () -> crashUnderPrompt(number)), target::crashAtNothing);
+    }
+
+    private void crashUnderPrompt(int number) {
+        Set<String> models = targets.get(number).modelNames();
+        promptCrashes.incrementAndGet();
+        crash(number);
+        storeServer.group().schedule(() -> restart(number, models), PROMPT_CRASH_RESTART_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Restarts a target under a new id, with the given models loaded. */
     public void restart(int number, Set<String> models) {
         crash(number);
@@ -123,6 +160,7 @@
         TargetStandIn target = before.restarted(models);
         servers.set(number, new StandInServer(new InetSocketAddress(LOOPBACK, 0), THREADS, target));
         targets.set(number, target);
+        crashAtPart(number);
         crashedAtMillis.remove(number);
     }
 
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetStandIn.java
@@ -6,10 +6,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -45,6 +47,9 @@
     private long rejectsUntilNanos;
     private long highestFencingToken;
     private int running;
+    private volatile Optional<PromptCrash> promptCrash = Optional.empty();
+
+    private record PromptCrash(String part, Runnable crash) {}
 
     public TargetStandIn(
             String id,
@@ -90,6 +95,26 @@
         rejectsUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /** Runs an action instead of answering a request whose prompt has the part before its last one. */
+    void crashAt(String part, Runnable crash) {
+        promptCrash = Optional.of(new PromptCrash(part, crash));
+    }
+
+    /** Answers all prompts again. */
+    void crashAtNothing() {
+        promptCrash = Optional.empty();
+    }
+
+    private boolean crashes(HttpHeaders request) {
+        String prompt = request.get("Prompt-Prefix", "");
+        int last = prompt.lastIndexOf(',');
+        return last > 0
+                && promptCrash
+                        .filter(crash -> Arrays.asList(prompt.substring(0, last).split("[,:]"))
+                                .contains(crash.part()))
+                        .isPresent();
+    }
+
     private synchronized OptionalLong rejectionMillisLeft() {
         long left = TimeUnit.NANOSECONDS.toMillis(rejectsUntilNanos - System.nanoTime());
         return rejectsUntilNanos != 0 && left > 0 ? OptionalLong.of(left) : OptionalLong.empty();
@@ -201,6 +226,10 @@
         }
         String requestId = request.get("Request-Id", "");
         ledger.recordExecution(requestId, id, request.get("Tenant", ""));
+        if (engine && crashes(request)) {
+            promptCrash.ifPresent(crash -> timers.execute(crash.crash()));
+            return;
+        }
         HttpHeaders answer = new DefaultHttpHeaders();
         answer.set("Request-Id", requestId);
         answer.set("Server-Seal", id + "." + requestId);
@@ -238,6 +267,10 @@
         timers.schedule(() -> sendEvent(exchange, number + 1), EVENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    synchronized Set<String> modelNames() {
+        return Set.copyOf(adaptersByModel.keySet());
+    }
+
     private synchronized boolean holds(String model) {
         int slash = model.indexOf('/');
         String base = slash < 0 ? model : model.substring(0, slash);
