A stream that has begun is only continued by an answer of the same kind

Cause: AttemptFlow knew of each attempt, not of the request, whether the head of an answer had been relayed, and relayed every status below 500 to the end. Change: the request remembers it; a later attempt is relayed only if it is a 200 of the same media type, else it counts as failed, and the answer is broken off if no other engine may go on.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
@@ -124,7 +124,7 @@
         submitLater(
                 member,
                 linkMillis,
-                now -> new FleetEvent.AttemptAnswered(now, attempt, status, notExecuted, TargetStatement.empty()));
+                now -> new FleetEvent.AttemptAnswered(now, attempt, status, notExecuted, true, TargetStatement.empty()));
     }
 
     private void execute(SimulatedMember member, FleetEffect effect) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -15,6 +15,7 @@
 /** Handles the events of attempts at targets, and decides which requests may be retried. */
 final class AttemptFlow {
     private static final int MAX_ATTEMPTS = 4; // includes rejected attempts; bounds the retries of a single request
+    private static final int OK = 200;
     private static final int FIRST_SERVER_ERROR = 500;
     /** Statuses from which a caller may conclude that nothing ran; not relayed, as the request may have run. */
     private static final Set<Integer> REJECTION_STATUSES = Set.of(408, 421, 429, 503);
@@ -57,7 +58,8 @@
             return retryOrRefuse(
                     known, request, id, false, "rejected with " + event.status(), event.nowMillis(), effects);
         }
-        boolean failed = event.status() >= FIRST_SERVER_ERROR;
+        boolean cannotContinue = request.answerStarted() && !(event.status() == OK && event.sameType());
+        boolean failed = event.status() >= FIRST_SERVER_ERROR || cannotContinue;
         FleetState updated = withTarget(
                 loaded,
                 id,
@@ -65,13 +67,14 @@
                         failed ? target.answeredWithError() : target.succeeded().withAnswerBegun(event.attempt()));
         boolean resumes = request.executions() > 0 && request.route().kind() == RouteKind.STREAMING;
         if (failed && (mayRetryAfterExecution(updated, request, event.nowMillis()) || resumes)
+                || cannotContinue
                 || REJECTION_STATUSES.contains(event.status())) {
             effects.add(new FleetEffect.CancelAttempt(event.attempt()));
             return retryOrRefuse(
                     updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
-        return updated.with(request.withPhase(new RequestPhase.Running(event.attempt(), id, true, false)));
+        return updated.with(request.withAnswerStarted(new RequestPhase.Running(event.attempt(), id, true, false)));
     }
 
     /** Learns the prefill speed from the time to the first bytes, which includes the prompts queued before it. */
@@ -258,7 +261,7 @@
             FleetState charged = spendRetry(released, request, nowMillis);
             return dispatch.dispatch(charged, request, nowMillis, effects);
         }
-        if (running.answered()) {
+        if (request.answerStarted()) {
             effects.add(new FleetEffect.BreakAnswer(request.id(), request.call().callerRequestId(), reason));
             return released.without(request);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -102,10 +102,16 @@
      * The head of an answer arrived.
      *
      * @param notExecuted whether the target states that it did not execute the request
+     * @param sameType whether its body has the media type of the answer that has been started, if one has
      * @param statement load and lifecycle information that the target sent along
      */
     record AttemptAnswered(
-            long nowMillis, AttemptId attempt, int status, boolean notExecuted, TargetStatement statement)
+            long nowMillis,
+            AttemptId attempt,
+            int status,
+            boolean notExecuted,
+            boolean sameType,
+            TargetStatement statement)
             implements FleetEvent {}
 
     /** The first bytes of an answer's body arrived. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -15,6 +15,7 @@
  * @param attempts number of attempts started so far
  * @param executions number of attempts that targets may have executed
  * @param tried targets at which an attempt has failed
+ * @param answerStarted whether the head of an answer has been relayed, which a later attempt can only continue
  * @param callerLeft whether the caller has closed its connection
  */
 public record FleetRequest(
@@ -30,6 +31,7 @@
         int attempts,
         int executions,
         PSet<String> tried,
+        boolean answerStarted,
         boolean callerLeft,
         RequestPhase phase) {
 
@@ -47,6 +49,7 @@
                 attempts,
                 executions,
                 tried,
+                answerStarted,
                 callerLeft,
                 next);
     }
@@ -65,10 +68,31 @@
                 attempts,
                 executions,
                 tried,
+                answerStarted,
                 true,
                 phase);
     }
 
+    /** Returns the request after the head of an answer has been relayed. */
+    FleetRequest withAnswerStarted(RequestPhase.Running running) {
+        return new FleetRequest(
+                id,
+                call,
+                route,
+                service,
+                workspace,
+                units,
+                priority,
+                arrivedAtMillis,
+                expiresAtMillis,
+                attempts,
+                executions,
+                tried,
+                true,
+                callerLeft,
+                running);
+    }
+
     /** Returns the request after an attempt has been started. */
     FleetRequest withAttempt(RequestPhase.Running running) {
         return new FleetRequest(
@@ -84,6 +108,7 @@
                 attempts + 1,
                 executions,
                 tried,
+                answerStarted,
                 callerLeft,
                 running);
     }
@@ -103,6 +128,7 @@
                 attempts,
                 executions + (mayHaveRun ? 1 : 0),
                 tried.plus(target),
+                answerStarted,
                 callerLeft,
                 phase);
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -89,6 +89,7 @@
                 0,
                 HashTreePSet.empty(),
                 false,
+                false,
                 new RequestPhase.AwaitingQuota(0, event.nowMillis()));
         QuarantineGate.Result gate = QuarantineGate.check(state, call, request.id(), true, event.nowMillis(), effects);
         if (gate.blocked().isPresent()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -38,6 +38,7 @@
     private Optional<Channel> channel = Optional.empty();
     private Optional<EventStreamSplitter> splitter = Optional.empty();
     private HttpHeaders responseHeaders = EmptyHttpHeaders.INSTANCE;
+    private String contentType = "";
     private int status;
     private long idleMillis;
     private boolean discarding;
@@ -76,7 +77,7 @@
             responseHeaders.remove(HttpHeaderNames.CONTENT_LENGTH);
         }
         if (!request.headSent()) {
-            request.markHeadSent();
+            request.markHeadSent(contentType);
             request.exchange().startResponse(status, responseHeaders);
         }
     }
@@ -169,8 +170,10 @@
         }
         idleMillis = head.idleMillis();
         responseHeaders = dialect.responseHeaders(response.headers());
+        contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        boolean sameType = !request.headSent() || contentType.equals(request.contentType());
         loop.submit(new FleetEvent.AttemptAnswered(
-                loop.nowMillis(), start.attempt(), status, head.notExecuted(), head.statement()));
+                loop.nowMillis(), start.attempt(), status, head.notExecuted(), sameType, head.statement()));
     }
 
     private void onContent(ChannelHandlerContext context, HttpContent content) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RelayedRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RelayedRequest.java
@@ -8,6 +8,7 @@
     private final HttpExchange exchange;
     private Optional<AttemptRelay> attempt = Optional.empty();
     private Optional<String> lastEventId = Optional.empty();
+    private String contentType = "";
     private boolean headSent;
 
     RelayedRequest(HttpExchange exchange) {
@@ -38,7 +39,13 @@
         return headSent;
     }
 
-    void markHeadSent() {
+    /** Returns the content type of the answer whose head has been sent; empty if it had none. */
+    String contentType() {
+        return contentType;
+    }
+
+    void markHeadSent(String type) {
         headSent = true;
+        contentType = type;
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -110,6 +110,21 @@
         assertThat(fixture.only(FleetEffect.StartAttempt.class).resumable()).isTrue();
     }
 
+    // Guards against the text of an error in the middle of a stream that another engine began.
+    @Test
+    void answerThatIsNoStreamDoesNotContinueOne() {
+        fixture.chat("letter", "m1");
+        AttemptId first = started();
+        fixture.answer(first, 200, false);
+        failConnection(first, true);
+
+        fixture.answer(started(), 400, false);
+
+        assertThat(fixture.all(FleetEffect.RelayAnswer.class)).isEmpty();
+        assertThat(fixture.all(FleetEffect.CancelAttempt.class)).hasSize(1);
+        assertThat(fixture.all(FleetEffect.BreakAnswer.class)).hasSize(1);
+    }
+
     @Test
     void brokenStreamOfAnotherRouteIsNotCompleted() {
         fixture.chat("chat", "m1");
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -318,7 +318,8 @@
                 (id, known) -> new Outcome(known.crashing(), known.arrivedAtMillis(), true, Optional.empty()));
         apply(
                 running.entry(),
-                new FleetEvent.AttemptAnswered(nowMillis, running.attempt(), 200, false, TargetStatement.empty()));
+                new FleetEvent.AttemptAnswered(
+                        nowMillis, running.attempt(), 200, false, true, TargetStatement.empty()));
         apply(running.entry(), new FleetEvent.AttemptStreaming(nowMillis, running.attempt()));
         after(STREAM_MILLIS, () -> {
             if (runningByEngine.get(engine).remove(running)) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -232,7 +232,7 @@
     }
 
     void answer(AttemptId attempt, int status, boolean notExecuted) {
-        apply(new FleetEvent.AttemptAnswered(nowMillis, attempt, status, notExecuted, TargetStatement.empty()));
+        apply(new FleetEvent.AttemptAnswered(nowMillis, attempt, status, notExecuted, true, TargetStatement.empty()));
     }
 
     <T extends FleetEffect> List<T> all(Class<T> type) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -209,6 +209,7 @@
                 attempt,
                 200,
                 false,
+                true,
                 new TargetStatement(Optional.empty(), true, OptionalLong.empty())));
 
         assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
@@ -26,7 +26,8 @@
     }
 
     private void answer(AttemptId attempt, int status, TargetStatement statement) {
-        fixture.apply(new FleetEvent.AttemptAnswered(fixture.nowMillis, attempt, status, status == 503, statement));
+        fixture.apply(
+                new FleetEvent.AttemptAnswered(fixture.nowMillis, attempt, status, status == 503, true, statement));
     }
 
     /** Sends a request small enough not to exceed the workspace's rate. */
@@ -152,7 +153,7 @@
         FleetFixture single = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
         sendRequest(single, "m1");
         AttemptId attempt = single.only(FleetEffect.StartAttempt.class).attempt();
-        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, paused(1_200)));
+        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, true, paused(1_200)));
 
         sendRequest(single, "m1");
 
@@ -167,7 +168,7 @@
         FleetFixture single = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
         sendRequest(single, "m1");
         AttemptId attempt = single.only(FleetEffect.StartAttempt.class).attempt();
-        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, paused(200)));
+        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, true, paused(200)));
 
         sendRequest(single, "m1");
 
@@ -181,7 +182,7 @@
         FleetFixture payments = FleetFixture.serving(FleetFixture.service("s1"));
         payments.call("pay");
         AttemptId attempt = payments.only(FleetEffect.StartAttempt.class).attempt();
-        payments.apply(new FleetEvent.AttemptAnswered(payments.nowMillis, attempt, 503, true, paused(900)));
+        payments.apply(new FleetEvent.AttemptAnswered(payments.nowMillis, attempt, 503, true, true, paused(900)));
 
         payments.call("pay");
 
@@ -209,7 +210,7 @@
         single.report("e1", 0, Set.of("m1"), Map.of());
         sendRequest(single, "m1");
         AttemptId attempt = single.only(FleetEffect.StartAttempt.class).attempt();
-        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, paused(5_000)));
+        single.apply(new FleetEvent.AttemptAnswered(single.nowMillis, attempt, 503, true, true, paused(5_000)));
 
         single.chat("slow", "m2");
         single.advanceWithStoreReads(50);
