A stream of any route that ends inside an event is broken off

TruncatedAnswerTest.streamThatEndsInsideAnEventIsNotComplete failed before.

Cause: AttemptRelay looked for an incomplete event only where it splits streams into events, on resumable routes. Change: the end of each event stream is checked (EventBoundary), and streams are relayed without a stated length, as one of the stated length would look complete whatever its last event. Ruled out: a reset after such an answer is no end (tests passed before).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -28,6 +28,8 @@
 
 /** Sends the request of one attempt to a target, and relays the response once the reducer has selected it. */
 final class AttemptRelay extends SimpleChannelInboundHandler<HttpObject> {
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private final StartAttempt start;
     private final RelayedRequest request;
     private final TargetDialect dialect;
@@ -37,6 +39,7 @@
     private final InetSocketAddress address;
     private Optional<Channel> channel = Optional.empty();
     private Optional<EventStreamSplitter> splitter = Optional.empty();
+    private Optional<EventBoundary> boundary = Optional.empty();
     private HttpHeaders responseHeaders = EmptyHttpHeaders.INSTANCE;
     private String contentType = "";
     private int status;
@@ -74,6 +77,9 @@
         relaying = true;
         if (start.resumable()) {
             splitter = Optional.of(new EventStreamSplitter(channel.orElseThrow().alloc(), request.lastEventId()));
+        }
+        if (start.resumable() || boundary.isPresent()) {
+            // A stream of the stated length would look complete even if its last event is not.
             responseHeaders.remove(HttpHeaderNames.CONTENT_LENGTH);
         }
         if (!request.headSent()) {
@@ -171,11 +177,16 @@
         idleMillis = head.idleMillis();
         responseHeaders = dialect.responseHeaders(response.headers());
         contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        boundary = success && isEventStream(contentType) ? Optional.of(new EventBoundary()) : Optional.empty();
         boolean sameType = !request.headSent() || contentType.equals(request.contentType());
         loop.submit(new FleetEvent.AttemptAnswered(
                 loop.nowMillis(), start.attempt(), status, head.notExecuted(), sameType, head.statement()));
     }
 
+    private static boolean isEventStream(String type) {
+        return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+    }
+
     private void onContent(ChannelHandlerContext context, HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (discarding) {
@@ -199,6 +210,7 @@
             bodyStarted = true;
             loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
         }
+        boundary.ifPresent(end -> end.add(bytes));
         ByteBuf part = splitter.map(open -> open.add(bytes)).orElseGet(bytes::retain);
         if (splitter.map(EventStreamSplitter::isTooLong).orElse(false)) {
             part.release();
@@ -219,7 +231,10 @@
     }
 
     private void complete(ChannelHandlerContext context) {
-        if (splitter.map(EventStreamSplitter::hasIncompleteEvent).orElse(false)) {
+        boolean insideEvent = splitter.map(EventStreamSplitter::hasIncompleteEvent)
+                .or(() -> boundary.map(EventBoundary::isInsideEvent))
+                .orElse(false);
+        if (insideEvent) {
             fail(AttemptFailure.CONNECTION_LOST);
             return;
         }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/TruncatedAnswerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/TruncatedAnswerTest.java
@@ -58,6 +58,37 @@
         assertThat(answer.indexOf("HTTP/1.1")).isEqualTo(answer.lastIndexOf("HTTP/1.1"));
     }
 
+    // Guards against a stream that was broken off inside an event and looks complete.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\nid: 1\ndata: a\n\nid: 2\ndata: b",
+                "\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n",
+                "transfer-encoding: chunked\r\n\r\n18\r\nid: 1\ndata: a\n\nid: 2\ndat\r\n0\r\n\r\n"
+            })
+    void streamThatEndsInsideAnEventIsNotComplete(String rest) throws Exception {
+        startWithAnswer(RouteKind.STREAMING, STREAM_HEAD + rest);
+
+        assertThat(call("1")).contains("data: a").doesNotEndWith(LAST_CHUNK);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\r\nid: 1\ndata: a\n\n",
+                "\r\nid: 1\r\ndata: a\r\n\r\n",
+                "content-length: 15\r\n\r\nid: 1\ndata: a\n\n"
+            })
+    void streamThatEndsAfterAnEventIsComplete(String rest) throws Exception {
+        startWithAnswer(RouteKind.STREAMING, STREAM_HEAD + rest);
+
+        assertThat(call("1"))
+                .contains("data: a")
+                .satisfiesAnyOf(
+                        answer -> assertThat(answer).endsWith(LAST_CHUNK),
+                        answer -> assertThat(answer).contains("content-length: 15"));
+    }
+
     @Test
     void answerWithoutLengthIsCompleteWhenItsConnectionCloses() throws Exception {
         startWithAnswer(RouteKind.UNSAFE, "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\nhello");
