A response without a request id is not believed on a connection in use again

Copies that carry their id were told apart here before; a refusal without an id was believed on any connection: MisbehavingTargetTest. repeatedRefusalWithoutAnIdIsNotTakenForTheNextResponse failed before (503 instead of 502).

Change: on a connection that has carried an earlier request, such a response fails the attempt as one that may have run. On a new connection it is believed, as nothing came before it.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -168,6 +168,11 @@
             return;
         }
         channel.ifPresent(AnswerHeadLimit::responseStarted);
+        if (!head.identified() && channel.map(TargetConnections::isReused).orElse(false)) {
+            // It may repeat the response to an earlier request, and then says nothing about this one.
+            fail(AttemptFailure.MALFORMED_ANSWER);
+            return;
+        }
         status = response.status().code();
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && !head.signed()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ResponseHead.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ResponseHead.java
@@ -6,10 +6,16 @@
  * Status information from the headers of a target's response.
  *
  * @param forOtherRequest whether the response belongs to another request
+ * @param identified whether the response names the request that it belongs to
  * @param signed whether the response carries the target's signature
  * @param notExecuted whether the target states that it did not execute the request
  * @param statement what the target reports about itself
  * @param idleMillis how long the connection may stay idle after the response and still be reused; 0 if not at all
  */
 public record ResponseHead(
-        boolean forOtherRequest, boolean signed, boolean notExecuted, TargetStatement statement, long idleMillis) {}
+        boolean forOtherRequest,
+        boolean identified,
+        boolean signed,
+        boolean notExecuted,
+        TargetStatement statement,
+        long idleMillis) {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -29,6 +30,8 @@
     private static final long IDLE_MILLIS = 3_000;
     private static final String IDLE_GUARD = "idle-guard";
 
+    private static final AttributeKey<Boolean> REUSED = AttributeKey.valueOf(TargetConnections.class, "reused");
+
     private final EventLoopGroup group;
     private final MonotonicClock clock;
     private final Map<InetSocketAddress, Deque<IdleChannel>> idle = new ConcurrentHashMap<>();
@@ -72,6 +75,7 @@
             channel.close();
             return;
         }
+        channel.attr(REUSED).set(true);
         channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
         Deque<IdleChannel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
@@ -83,6 +87,11 @@
         channel.close();
     }
 
+    /** Returns whether a connection has carried an earlier request. */
+    public static boolean isReused(Channel channel) {
+        return channel.hasAttr(REUSED);
+    }
+
     private Optional<Channel> takeIdle(InetSocketAddress address) {
         Deque<IdleChannel> channels = idle.get(address);
         if (channels == null) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
@@ -89,6 +89,34 @@
         assertThat(call("1", "2")).containsOnlyOnce("mine1").contains("mine2");
     }
 
+    // Guards against a repeated refusal by which a request that runs is sent again or refused as not run.
+    @Test
+    void repeatedRefusalWithoutAnIdIsNotTakenForTheNextResponse() throws Exception {
+        AtomicInteger executions = new AtomicInteger();
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (id.equals("2")) {
+                executions.incrementAndGet();
+                send(socket, "HTTP/1.1 503 Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n");
+                sleep();
+            }
+            send(socket, answer(id, "mine" + id));
+        });
+
+        assertThat(call("1", "2")).contains("HTTP/1.1 502").doesNotContain("HTTP/1.1 503");
+        assertThat(executions).hasValue(1);
+    }
+
+    @Test
+    void refusalWithoutAnIdOnANewConnectionIsBelieved() throws Exception {
+        start(
+                RouteKind.UNSAFE,
+                false,
+                (socket, id, number) ->
+                        send(socket, "HTTP/1.1 503 Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n"));
+
+        assertThat(call("1")).startsWith("HTTP/1.1 503");
+    }
+
     /** After a restart of all hosts, a slow host still has requests queued whose callers have disconnected. */
     @Test
     void requestThatIsReadLateIsNotSentIfItsCallerHasDisconnected() throws Exception {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -255,9 +255,12 @@
 
         @Override
         public ResponseHead read(HttpResponse response, String callerRequestId) {
+            boolean identified = response.headers().contains("id");
             String id = response.headers().get("id", callerRequestId);
             boolean sealed = response.headers().contains("seal");
-            return new ResponseHead(!id.equals(callerRequestId), sealed, false, TargetStatement.empty(), 1_000);
+            boolean notExecuted = response.headers().contains("not-executed");
+            return new ResponseHead(
+                    !id.equals(callerRequestId), identified, sealed, notExecuted, TargetStatement.empty(), 1_000);
         }
 
         @Override
