The project's own interface: no reuse after a rejection, and streams continue only as streams

What callers saw: a stream that ended as if it were complete when the engine that was to go on answered with an error or with another type; and a rejection, which names no request there, could be read again as the response to the next request on its connection.

Change: AttemptHandler closes a connection after a rejection, and fails an attempt that cannot continue a started stream. Open: a copy of a success on a kept connection cannot be told apart there, as responses carry no id.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/OpenRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/OpenRequest.java
@@ -20,7 +20,9 @@
     private volatile BufferedHttpResponse response;
     private volatile long relayedTokens;
 
-    OpenRequest(long id, HttpExchange exchange, Optional<ObjectNode> completion, HttpHeaders targetHeaders, Span span) {
+    /** Creates a request without an attempt. */
+    public OpenRequest(
+            long id, HttpExchange exchange, Optional<ObjectNode> completion, HttpHeaders targetHeaders, Span span) {
         this.id = id;
         this.exchange = exchange;
         this.completion = completion;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
@@ -28,7 +28,9 @@
 final class AttemptHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
     private static final double NANOS_PER_MILLI = 1_000_000;
+    private static final int STATUS_OK = 200;
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final Attempt attempt;
     private final TargetConnections connections;
@@ -41,6 +43,7 @@
     private String contentType = "";
     private boolean keepAlive;
     private boolean relaysStream;
+    private boolean cannotContinue;
     private long firstTokenAtNanos;
     private long lastTokenAtNanos;
     private long slowGaps;
@@ -100,7 +103,10 @@
         status = response.status().code();
         contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         keepAlive = HttpUtil.isKeepAlive(response);
-        relaysStream = attempt.streamed() && status == 200;
+        boolean started = attempt.request().exchange().isStreaming();
+        boolean continues = status == STATUS_OK && contentType.startsWith(EVENT_STREAM);
+        cannotContinue = started && !continues;
+        relaysStream = attempt.streamed() && status == STATUS_OK && !cannotContinue;
         if (relaysStream) {
             splitter = new EventSplitter(context.alloc());
         } else {
@@ -176,7 +182,8 @@
             attempt.listener().onAnswering();
         }
         if (engine && isRejection()) {
-            release(context);
+            // A copy of the rejection may follow, and responses do not name their requests.
+            context.close();
             attempt.fail(AttemptFailure.REJECTED, false);
             return;
         }
@@ -185,6 +192,10 @@
             attempt.fail(AttemptFailure.SERVER_ERROR, true);
             return;
         }
+        if (cannotContinue) {
+            fail(context, AttemptFailure.MALFORMED_ANSWER);
+            return;
+        }
         byte[] body = ByteBufUtil.getBytes(bodyBuffer);
         long tokens = engine ? generatedTokens(body) : -1;
         if (engine && status == 200 && tokens < 0) {
