RequestLogTest waits for the head of the stream that it breaks

Cause, as traced before: the test reset the connections 40 ms after attempt_started and took it that the head of the answer had come by then. Change: the head is delayed by a second, and the rest by another, and the reset follows when the caller has read the status line; the check of the outcome stays as strict.

--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/CallerConnection.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/CallerConnection.java
@@ -19,11 +19,22 @@
     private static final int HEXADECIMAL = 16;
 
     private final InetSocketAddress address;
+    private final Runnable onStatus;
     private Socket socket;
     private InputStream input;
     private int answers;
 
     CallerConnection(int port) {
+        this(port, () -> {});
+    }
+
+    /**
+     * Creates a connection that is opened with its first request.
+     *
+     * @param onStatus runs when the status line of a response has been read
+     */
+    CallerConnection(int port, Runnable onStatus) {
+        this.onStatus = onStatus;
         this.address = new InetSocketAddress("127.0.0.1", port);
     }
 
@@ -41,6 +52,7 @@
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             int status = Integer.parseInt(readLine().split(" ")[1]);
             headSeen = true;
+            onStatus.run();
             Map<String, String> headers = readHeaders();
             String body = readBody(headers);
             answers++;
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/RequestLogTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/RequestLogTest.java
@@ -26,6 +26,7 @@
     private static final int TARGETS = 5;
     private static final int REQUESTS = 40; // four times what the rate allows in a second
     private static final int START_ATTEMPTS = 200;
+    private static final long RESPONSE_DELAY_MILLIS = 1_000;
     private static final long LOG_TIMEOUT_MILLIS = 2_000; // log lines are written asynchronously
 
     @TempDir
@@ -76,20 +77,43 @@
         return lines;
     }
 
-    /** Sends a request and resets the target connections after a delay. With no delay, responses are held back. */
-    private Outcome sendAndReset(RequestKind kind, String id, long afterMillis) throws Exception {
+    /** Sends a request and resets the target connections while its response is held back. */
+    private Outcome sendAndResetBeforeTheResponse(RequestKind kind, String id) throws Exception {
         for (int target = 0; target < TARGETS; target++) {
-            site.targetProxy(target).hold(false, afterMillis == 0);
+            site.targetProxy(target).hold(false, true);
         }
         CompletableFuture<Outcome> outcome = CompletableFuture.supplyAsync(() -> send(kind, id), threads);
         linesWith("request=" + id, "event=attempt_started");
-        Thread.sleep(afterMillis);
+        resetTargets();
+        return outcome.get();
+    }
+
+    /** Sends a request and resets the target connections when the head of its response has arrived. */
+    private Outcome sendAndResetAfterTheHead(RequestKind kind, String id) throws Exception {
         for (int target = 0; target < TARGETS; target++) {
-            site.targetProxy(target).reset();
+            // The rest of the response follows the head after the same delay.
+            site.targetProxy(target).delay(RESPONSE_DELAY_MILLIS);
         }
+        CompletableFuture<Void> head = new CompletableFuture<>();
+        CompletableFuture<Outcome> outcome = CompletableFuture.supplyAsync(
+                () -> {
+                    try (CallerConnection connection =
+                            new CallerConnection(entry.callerPort(), () -> head.complete(null))) {
+                        return connection.send(kind.toHttp(id, kind.key()));
+                    }
+                },
+                threads);
+        head.get();
+        resetTargets();
         return outcome.get();
     }
 
+    private void resetTargets() {
+        for (int target = 0; target < TARGETS; target++) {
+            site.targetProxy(target).reset();
+        }
+    }
+
     @Test
     void refusalOverTheRateLogsUnitsAndVersion() throws Exception {
         List<CompletableFuture<Integer>> statuses = IntStream.range(0, REQUESTS)
@@ -112,7 +136,7 @@
 
     @Test
     void paymentWithoutAnAnswerLogsItsTargetAndThatItMayHaveRun() throws Exception {
-        Outcome outcome = sendAndReset(RequestKind.PAYMENT, "payment-1", 0);
+        Outcome outcome = sendAndResetBeforeTheResponse(RequestKind.PAYMENT, "payment-1");
 
         assertThat(outcome)
                 .isInstanceOfSatisfying(
@@ -129,7 +153,7 @@
 
     @Test
     void brokenStreamLogsItsEngineAndItsEstimate() throws Exception {
-        Outcome outcome = sendAndReset(RequestKind.CHAT, "stream-1", 40);
+        Outcome outcome = sendAndResetAfterTheHead(RequestKind.CHAT, "stream-1");
 
         assertThat(outcome).isEqualTo(new Outcome.Broken(true));
         List<String> lines = linesWith("request=stream-1", "event=answer_broken");
