--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/LostEngine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/LostEngine.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.logic.quarantine;
 
+import java.util.HashSet;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.pcollections.HashTreePMap;
@@ -41,11 +42,28 @@
                 : suspects.values().stream().filter(suspect -> suspect.parts().contains(part));
     }
 
+    /** Returns the parts that may have caused the loss. */
+    Set<Long> suspectedParts() {
+        if (survived) {
+            return Set.of();
+        }
+        Set<Long> parts = new HashSet<>();
+        suspects.values().forEach(suspect -> parts.addAll(suspect.parts()));
+        parts.removeAll(cleared);
+        return parts;
+    }
+
     /** Returns whether a suspect contains all the given parts, so that they explain the loss. */
     boolean isExplainedBy(Set<Long> group) {
         return suspects.values().stream().anyMatch(suspect -> suspect.containsAll(group));
     }
 
+    int countParts() {
+        return suspects.values().stream()
+                .mapToInt(suspect -> suspect.parts().size())
+                .sum();
+    }
+
     boolean hasSuspectWith(Set<Long> parts) {
         return suspects.values().stream()
                 .anyMatch(suspect -> suspect.parts().stream().anyMatch(parts::contains));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -35,6 +35,8 @@
     private static final long RELEASE_RETENTION_MILLIS = 600_000;
     private static final int MAX_LOSSES = 64; // callers can cause any number of them
     private static final int MAX_ENTRIES = 64;
+    private static final int MAX_PARTS_OF_A_PROMPT = 64;
+    private static final int MAX_REPORTED_PARTS = 1_000; // about ten kilobytes of a heartbeat
     private static final int MAX_ANSWERED_PARTS = 4_096;
     /** How long an answer clears its parts in advance, so that parts in constant use are not suspected. */
     private static final long CLEARANCE_MILLIS = 1_000;
@@ -52,7 +54,8 @@
     /** Records that a request lost its engine before the first byte of its answer. */
     public Quarantine withLoss(Incarnation engine, long request, long sentAtMillis, List<Long> parts, long nowMillis) {
         LostEngine known = losses.getOrDefault(engine, LostEngine.at(nowMillis));
-        LostEngine changed = known.withSuspect(request, new SuspectRequest(sentAtMillis, parts))
+        List<Long> suspected = parts.stream().limit(MAX_PARTS_OF_A_PROMPT).toList();
+        LostEngine changed = known.withSuspect(request, new SuspectRequest(sentAtMillis, suspected))
                 .withCleared(answeredSince(parts, known.atMillis() - CLEARANCE_MILLIS));
         return with(engine, changed, nowMillis);
     }
@@ -190,12 +193,17 @@
         long earliest = all ? Long.MIN_VALUE : nowMillis - REPEAT_MILLIS;
         List<Set<Long>> groups = activeGroups();
         List<EngineLoss> lost = new ArrayList<>();
-        losses.forEach((engine, loss) -> {
-            boolean open = groups.stream().noneMatch(loss::isExplainedBy);
-            if (open && touchedAtMillis.getOrDefault(engine, Long.MIN_VALUE) >= earliest) {
-                lost.add(toReport(engine, loss, nowMillis));
+        int room = MAX_REPORTED_PARTS;
+        for (Map.Entry<Incarnation, LostEngine> loss : newestFirst()) {
+            boolean open = groups.stream().noneMatch(loss.getValue()::isExplainedBy);
+            if (open && touchedAtMillis.getOrDefault(loss.getKey(), Long.MIN_VALUE) >= earliest) {
+                lost.add(toReport(loss.getKey(), loss.getValue(), nowMillis));
+                room -= loss.getValue().countParts();
             }
-        });
+            if (room <= 0) {
+                break;
+            }
+        }
         List<QuarantinedParts> quarantined = entries.entrySet().stream()
                 .filter(entry -> entry.getValue().changedAtMillis() >= earliest)
                 .map(entry -> new QuarantinedParts(
@@ -207,6 +215,12 @@
         return new QuarantineReport(List.copyOf(lost), quarantined);
     }
 
+    private List<Map.Entry<Incarnation, LostEngine>> newestFirst() {
+        return losses.entrySet().stream()
+                .sorted(Comparator.comparingLong(loss -> -loss.getValue().atMillis()))
+                .toList();
+    }
+
     private static EngineLoss toReport(Incarnation engine, LostEngine loss, long nowMillis) {
         List<Suspect> suspects = loss.suspects().entrySet().stream()
                 .filter(suspect ->
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Stream;
 
@@ -65,11 +67,15 @@
     }
 
     private static Optional<Set<Long>> findNewGroup(List<LostEngine> unexplained) {
-        Set<Long> parts = new TreeSet<>();
-        unexplained.forEach(loss -> loss.suspects().values().forEach(suspect -> parts.addAll(suspect.parts())));
+        Map<Long, Integer> lossesByPart = new TreeMap<>();
+        unexplained.forEach(loss -> loss.suspectedParts().forEach(part -> lossesByPart.merge(part, 1, Integer::sum)));
         int highest = REQUIRED_LOSSES - 1;
         Optional<Set<Long>> found = Optional.empty();
-        for (long part : parts) {
+        for (Map.Entry<Long, Integer> candidate : lossesByPart.entrySet()) {
+            if (candidate.getValue() <= highest) {
+                continue;
+            }
+            long part = candidate.getKey();
             int count = countLosses(unexplained.stream(), part);
             if (count > highest && countRequests(unexplained, part) >= REQUIRED_REQUESTS) {
                 highest = count;
