--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
@@ -6,11 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.FleetMessage;
+import org.jackdawbeam.model.fleet.QuarantineReport;
 import org.jackdawbeam.model.log.LogRecord;
 import org.jackdawbeam.model.member.Epoch;
 import org.jackdawbeam.model.member.Member;
@@ -66,6 +70,38 @@
         assertThat(mapper.read(mapper.write(record), LogRecord.class)).isEqualTo(record);
     }
 
+    @Test
+    void heartbeatWithEvidenceRoundTrips() {
+        QuarantineReport report = new QuarantineReport(
+                List.of(new QuarantineReport.EngineLoss(
+                        "e1",
+                        7,
+                        20,
+                        false,
+                        List.of(new QuarantineReport.Suspect(1, 50, List.of(2L, -3L))),
+                        Set.of(4L))),
+                List.of(new QuarantineReport.QuarantinedParts(List.of(5L), 1, false, 30_000)));
+        FleetMessage heartbeat = heartbeat(Optional.of(report));
+        MessageMapper mapper = MessageMapper.messagePack();
+
+        assertThat(mapper.read(mapper.write(heartbeat), FleetMessage.class)).isEqualTo(heartbeat);
+    }
+
+    // Guards against builds that cannot read each other's heartbeats during an upgrade.
+    @Test
+    void heartbeatOfAnOlderBuildHasNoEvidence() {
+        MessageMapper mapper = MessageMapper.messagePack();
+        Map<?, ?> fields = mapper.read(mapper.write(heartbeat(Optional.empty())), Map.class);
+        fields.remove("quarantine");
+
+        assertThat(mapper.read(mapper.write(fields), FleetMessage.class)).isEqualTo(heartbeat(Optional.empty()));
+    }
+
+    private static FleetMessage heartbeat(Optional<QuarantineReport> report) {
+        FleetMember member = new FleetMember("a", "a/1", "z", "a:1", "a:2", 100);
+        return new FleetMessage.Digest("a", member, 5, true, false, Optional.empty(), List.of(), List.of(), report);
+    }
+
     @Property(tries = 500, seed = "7")
     void arbitraryBytesGiveAMessageOrMalformedError(@ForAll byte[] bytes) {
         try {
