--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
@@ -16,6 +16,7 @@
 import org.jackdawbeam.model.fleet.FeedEntry;
 import org.jackdawbeam.model.fleet.FleetBounds;
 import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
 import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.refusal.Refusal;
 import org.jackdawbeam.model.request.AttemptId;
@@ -124,7 +125,8 @@
         submitLater(
                 member,
                 linkMillis,
-                now -> new FleetEvent.AttemptAnswered(now, attempt, status, notExecuted, true, TargetStatement.empty()));
+                now -> new FleetEvent.AttemptAnswered(
+                        now, attempt, status, notExecuted, true, TargetStatement.empty()));
     }
 
     private void execute(SimulatedMember member, FleetEffect effect) {
@@ -133,6 +135,7 @@
             case FleetEffect.Announce announce -> announce(member, announce.member());
             case FleetEffect.Withdraw withdraw ->
                 write(member, Feed.MEMBERS, new FeedEntry.MemberRemoved(withdraw.memberId()));
+            case FleetEffect.StoreQuarantine stored -> storeQuarantine(member, stored);
             case FleetEffect.AppendLeadership append -> appendLeadership(member, append);
             case FleetEffect.ReadLeadership read -> readLeadership(member, read.fromOffset());
             case FleetEffect.SendPeerMessage sent -> send(member, sent);
@@ -209,6 +212,15 @@
         answer(member, now -> new FleetEvent.AnnouncementEnded(now, accepted));
     }
 
+    private void storeQuarantine(SimulatedMember member, FleetEffect.StoreQuarantine stored) {
+        QuarantinedParts parts = stored.parts();
+        FeedEntry entry = parts.released()
+                ? new FeedEntry.QuarantineRemoved(parts.parts().toString())
+                : new FeedEntry.Quarantined(parts);
+        boolean accepted = write(member, Feed.QUARANTINE, entry);
+        answer(member, now -> new FleetEvent.QuarantineStored(now, stored.group(), accepted));
+    }
+
     private boolean write(SimulatedMember member, Feed feed, FeedEntry entry) {
         if (!reachesStore(member)) {
             return false;
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedStore.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedStore.java
@@ -42,6 +42,9 @@
             case FeedEntry.TargetRemoved removed -> topic.newest.remove(removed.id());
             case FeedEntry.Member member -> topic.newest.put(member.member().id(), member);
             case FeedEntry.MemberRemoved removed -> topic.newest.remove(removed.id());
+            case FeedEntry.Quarantined quarantined ->
+                topic.newest.put(quarantined.parts().parts().toString(), quarantined);
+            case FeedEntry.QuarantineRemoved removed -> topic.newest.remove(removed.key());
             case FeedEntry.Unreadable unreadable -> {
                 // Unreadable entries have no key.
             }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Records that an engine has begun to write an answer to a prompt with the given parts: none of them crashes engines.
+     * Records that an engine has begun to answer a prompt with the given parts: none of them crashes engines.
      */
     public Quarantine withAnswer(Incarnation engine, long sentAtMillis, List<Long> parts, long nowMillis) {
         Quarantine next = withSurvivor(engine, sentAtMillis, nowMillis)
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
@@ -14,9 +14,9 @@
  * Decides which groups of prompt parts have crashed engines.
  *
  * <p>A part is guilty if engines were lost one after the other under different requests with it, and no engine has
- * answered it since. Losses count one after the other if the later request was sent after the earlier loss: engines that
- * end together, as in an outage, count once. Parts that were always lost together cannot be told apart; they form a group
- * that affects only requests with all of them.
+ * answered it since. Losses count one after the other if the later request was sent after the earlier loss: engines
+ * that end together, as in an outage, count once. Parts that were always lost together cannot be told apart; they form
+ * a group that affects only requests with all of them.
  */
 final class QuarantineRule {
     private static final int REQUIRED_LOSSES = 3; // two engines in a row are lost by chance while others crash
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/QuarantineReport.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/QuarantineReport.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * What an entry knows of prompt parts that may crash engines. Entries exchange it with their heartbeats, and merge it so
- * that neither order nor repetition of the messages matters. Times are ages, as the clocks of entries differ.
+ * What an entry knows of prompt parts that may crash engines. Entries exchange it with their heartbeats, and merge it
+ * so that neither order nor repetition of the messages matters. Times are ages, as the clocks of entries differ.
  */
 public record QuarantineReport(List<EngineLoss> losses, List<QuarantinedParts> quarantined) {
     private static final QuarantineReport EMPTY = new QuarantineReport(List.of(), List.of());
@@ -58,7 +58,7 @@
      * Parts of prompts that together crash engines. A request is affected if its prompt contains all of them.
      *
      * @param parts part ids in ascending order
-     * @param trials number of trials that have been started; of two reports about the same parts the higher one is newer
+     * @param trials number of trials that have been started; of two reports about the same parts the higher is newer
      * @param released whether the parts may be used again; takes precedence among reports with the same trials
      * @param trialInMillis time until one request may be tried
      */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/QuarantineEndpoint.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/QuarantineEndpoint.java
@@ -15,8 +15,8 @@
 
 /**
  * Lets operators see and lift the quarantine of prompt parts. {@code GET /quarantine} returns a JSON list;
- * {@code DELETE /quarantine?parts=ID+ID} releases one group in the whole fleet, with the ids in hexadecimal. Must be used
- * on the loop's thread.
+ * {@code DELETE /quarantine?parts=ID+ID} releases one group in the whole fleet, with the ids in hexadecimal. Must be
+ * used on the loop's thread.
  */
 public final class QuarantineEndpoint {
     /** Path that this endpoint serves. */
