--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.Route;
 import org.pcollections.PSet;
@@ -36,85 +37,49 @@
         RequestPhase phase) {
 
     FleetRequest withPhase(RequestPhase next) {
-        return new FleetRequest(
-                id,
-                call,
-                route,
-                service,
-                workspace,
-                units,
-                priority,
-                arrivedAtMillis,
-                expiresAtMillis,
-                attempts,
-                executions,
-                tried,
-                answerStarted,
-                callerLeft,
-                next);
+        return changed(builder -> builder.phase = next);
     }
 
     FleetRequest withoutCaller() {
-        return new FleetRequest(
-                id,
-                call,
-                route,
-                service,
-                workspace,
-                units,
-                priority,
-                arrivedAtMillis,
-                expiresAtMillis,
-                attempts,
-                executions,
-                tried,
-                answerStarted,
-                true,
-                phase);
+        return changed(builder -> builder.callerLeft = true);
     }
 
     /** Returns the request after the head of an answer has been relayed. */
     FleetRequest withAnswerStarted(RequestPhase.Running running) {
-        return new FleetRequest(
-                id,
-                call,
-                route,
-                service,
-                workspace,
-                units,
-                priority,
-                arrivedAtMillis,
-                expiresAtMillis,
-                attempts,
-                executions,
-                tried,
-                true,
-                callerLeft,
-                running);
+        return changed(builder -> {
+            builder.answerStarted = true;
+            builder.phase = running;
+        });
     }
 
     /** Returns the request after an attempt has been started. */
     FleetRequest withAttempt(RequestPhase.Running running) {
-        return new FleetRequest(
-                id,
-                call,
-                route,
-                service,
-                workspace,
-                units,
-                priority,
-                arrivedAtMillis,
-                expiresAtMillis,
-                attempts + 1,
-                executions,
-                tried,
-                answerStarted,
-                callerLeft,
-                running);
+        return changed(builder -> {
+            builder.attempts++;
+            builder.phase = running;
+        });
     }
 
     /** Returns the request after an attempt has failed. */
     FleetRequest withFailedAttempt(String target, boolean mayHaveRun) {
+        return changed(builder -> {
+            builder.executions += mayHaveRun ? 1 : 0;
+            builder.tried = tried.plus(target);
+        });
+    }
+
+    RequestTraits traits() {
+        return RequestTraits.of(call, Optional.of(route), workspace);
+    }
+
+    /** Returns whether no target can have executed the request. */
+    boolean hasNotRun() {
+        return executions == 0;
+    }
+
+    private FleetRequest changed(Consumer<Builder> change) {
+        Builder builder = new Builder(this);
+        change.accept(builder);
         return new FleetRequest(
                 id,
                 call,
@@ -125,20 +90,30 @@
                 priority,
                 arrivedAtMillis,
                 expiresAtMillis,
-                attempts,
-                executions + (mayHaveRun ? 1 : 0),
-                tried.plus(target),
-                answerStarted,
-                callerLeft,
-                phase);
+                builder.attempts,
+                builder.executions,
+                builder.tried,
+                builder.answerStarted,
+                builder.callerLeft,
+                builder.phase);
     }
 
-    RequestTraits traits() {
-        return RequestTraits.of(call, Optional.of(route), workspace);
-    }
+    /** Mutable components of a request that change, used to build a changed copy. */
+    private static final class Builder {
+        private int attempts;
+        private int executions;
+        private PSet<String> tried;
+        private boolean answerStarted;
+        private boolean callerLeft;
+        private RequestPhase phase;
 
-    /** Returns whether no target can have executed the request. */
-    boolean hasNotRun() {
-        return executions == 0;
+        Builder(FleetRequest source) {
+            attempts = source.attempts;
+            executions = source.executions;
+            tried = source.tried;
+            answerStarted = source.answerStarted;
+            callerLeft = source.callerLeft;
+            phase = source.phase;
+        }
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.PromptPart;
@@ -162,7 +163,7 @@
 
         fleet.load(10_000, 50, 0.05, CRASHING_PART);
 
-        Set<String> sent = new java.util.HashSet<>();
+        Set<String> sent = new HashSet<>();
         fleet.arrivals.forEach(arrival -> sent.add(arrival.request()));
         assertThat(fleet.refusedAsQuarantined(true)).isPositive();
         fleet.outcomes.forEach((request, outcome) -> outcome.refusal()
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -161,7 +162,7 @@
             reports.add(other.report(true, NOW + 6_000));
         }
         reports.addAll(List.copyOf(reports));
-        Set<List<Set<Long>>> results = new java.util.HashSet<>();
+        Set<List<Set<Long>>> results = new HashSet<>();
 
         for (int seed = 0; seed < 20; seed++) {
             Collections.shuffle(reports, new Random(seed));
