A request whose lost engine convicts its parts is refused once

The request was still recorded as running when its loss quarantined its parts, so that it was cancelled with the other attempts and then refused again: two log lines and two counts, one answer. QuarantineFlowTest failed before (requestIsRepeatedOnlyUntilTwoEnginesWereLostUnderOneOfItsParts). Now it is taken out before the parts are judged.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -177,10 +177,10 @@
         if (!waited || target == null) {
             return state;
         }
+        // The attempt has ended, so it must not be cancelled with the others if its parts are quarantined now.
         return findOutstanding(state, running)
-                .map(attempt ->
-                        quarantine.onEngineLost(state, request, target, attempt.sentAtMillis(), event.nowMillis()))
-                .map(recorded -> quarantine.settle(recorded, event.nowMillis(), effects))
+                .map(attempt -> quarantine.onEngineLost(
+                        state.without(request), request, target, attempt.sentAtMillis(), event.nowMillis(), effects))
                 .orElse(state);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
@@ -26,27 +26,31 @@
         this.dispatch = dispatch;
     }
 
-    /** Records that a request has lost the connection to its engine before the first byte of its answer. */
+    /**
+     * Records that a request has lost the connection to its engine before the first byte of its answer, and quarantines
+     * what the evidence now requires.
+     */
     FleetState onEngineLost(
-            FleetState state, FleetRequest request, FleetTarget target, long sentAtMillis, long nowMillis) {
+            FleetState state,
+            FleetRequest request,
+            FleetTarget target,
+            long sentAtMillis,
+            long nowMillis,
+            List<FleetEffect> effects) {
         List<Long> parts = QuarantineGate.sharedParts(request.call());
         if (parts.isEmpty() || target.isLeaving()) {
             return state;
         }
-        Quarantine changed = state.quarantine()
-                .withLoss(
+        Quarantine before = state.quarantine();
+        Quarantine changed = before.withLoss(
                         incarnation(target),
                         request.call().callerRequestId().hashCode(),
                         sentAtMillis,
                         parts,
-                        nowMillis);
-        return state.with(changed).with(state.sent().withDigestDue());
-    }
-
-    /** Quarantines what the evidence requires, after it has changed. */
-    FleetState settle(FleetState state, long nowMillis, List<FleetEffect> effects) {
-        Quarantine before = state.quarantine();
-        return apply(before, state.with(before.withNewGroups(nowMillis)), "own", nowMillis, effects);
+                        nowMillis)
+                .withNewGroups(nowMillis);
+        FleetState told = state.with(changed).with(state.sent().withDigestDue());
+        return apply(before, told, "own", nowMillis, effects);
     }
 
     /** Records that an engine has begun to write the answer of a request. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -215,6 +215,38 @@
         return arrive(route, KEY, Optional.empty(), Optional.empty(), 0);
     }
 
+    /** Sends a request for model m1 whose prompt has the given parts and one of its own. */
+    long prompt(String route, long... sharedParts) {
+        return promptEndingWith(-lastRequest - 1, route, sharedParts);
+    }
+
+    long promptEndingWith(long lastPart, String route, long... sharedParts) {
+        lastRequest++;
+        List<PromptPart> parts = new ArrayList<>();
+        for (long part : sharedParts) {
+            parts.add(new PromptPart(part, 10));
+        }
+        parts.add(new PromptPart(lastPart, 10));
+        CallerRequest plain = call(route, KEY, Optional.of("m1"), Optional.empty(), 100);
+        apply(new FleetEvent.RequestArrived(nowMillis, lastRequest, withPrompt(plain, parts)));
+        return lastRequest;
+    }
+
+    private static CallerRequest withPrompt(CallerRequest call, List<PromptPart> parts) {
+        return new CallerRequest(
+                call.callerRequestId(),
+                call.host(),
+                call.path(),
+                call.key(),
+                call.deadlineMillis(),
+                call.model(),
+                call.adapter(),
+                call.inputTokens(),
+                call.maximumOutputTokens(),
+                call.countsTokens(),
+                parts);
+    }
+
     private CallerRequest call(
             String route, String key, Optional<String> model, Optional<String> adapter, long tokens) {
         return new CallerRequest(
