Trials are told at once, and released groups leave the store whoever wrote them

A trial did not count as a change, so that for up to four seconds another entry could start a second one; a group whose writer had gone stayed in the store when another entry released it, and a later start would have read it (QuarantineFlowTest.groupReleasedByAnotherEntryIsRemovedFromTheStore, trialIsToldToThePeersAndStored). What is known of the store is forgotten with the group.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -334,20 +334,10 @@
 
     private static List<TargetWork> sumOfWork(Stream<TargetWork> work) {
         Map<String, TargetWork> sum = new HashMap<>();
-        work.forEach(item -> sum.merge(item.target(), item, HubFlow::sum));
+        work.forEach(item -> sum.merge(item.target(), item, TargetWork::plus));
         return List.copyOf(sum.values());
     }
 
-    private static TargetWork sum(TargetWork one, TargetWork other) {
-        Set<String> adapters = new HashSet<>(one.adapters());
-        adapters.addAll(other.adapters());
-        return new TargetWork(
-                one.target(),
-                one.running() + other.running(),
-                one.unreadTokens() + other.unreadTokens(),
-                Set.copyOf(adapters));
-    }
-
     private FleetState merge(FleetState state, Bulletin bulletin, long nowMillis, List<FleetEffect> effects) {
         PMap<String, FleetPeer> peers = state.peers();
         for (String id : bulletin.present()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
@@ -110,7 +110,7 @@
         if (quarantine.losses().isEmpty() && quarantine.entries().isEmpty()) {
             return state;
         }
-        FleetState next = state.with(quarantine.expire(nowMillis));
+        FleetState next = forgetExpired(state.with(quarantine.expire(nowMillis)));
         for (Map.Entry<Set<Long>, QuarantineEntry> entry :
                 next.quarantine().entries().entrySet()) {
             next = store(next, entry.getKey(), entry.getValue(), nowMillis, effects);
@@ -118,6 +118,15 @@
         return next;
     }
 
+    private static FleetState forgetExpired(FleetState state) {
+        FleetState next = state;
+        for (Set<Long> group : state.storedQuarantine().keySet()) {
+            boolean expired = !state.quarantine().entries().containsKey(group);
+            next = expired ? next.withStoredQuarantine(next.storedQuarantine().minus(group)) : next;
+        }
+        return next;
+    }
+
     /** Returns whether a request may be repeated at another engine after its engine was lost. */
     static boolean mayRepeat(FleetState state, FleetRequest request) {
         List<Long> parts = QuarantineGate.sharedParts(request.call());
@@ -128,10 +137,9 @@
     private static FleetState store(
             FleetState state, Set<Long> group, QuarantineEntry entry, long nowMillis, List<FleetEffect> effects) {
         StoredQuarantine stored = state.storedQuarantine().get(group);
-        boolean neverStored = stored == null && entry.released();
         boolean upToDate =
                 stored != null && stored.matches(entry) && (stored.confirmed() || nowMillis < stored.retryAtMillis());
-        if (neverStored || upToDate || !QuotaFlow.isFirst(state, QuarantineGate.format(group), nowMillis)) {
+        if (upToDate || !QuotaFlow.isFirst(state, QuarantineGate.format(group), nowMillis)) {
             return state;
         }
         effects.add(new FleetEffect.StoreQuarantine(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -169,14 +169,7 @@
     public Quarantine touch(long nowMillis) {
         Quarantine next = this;
         for (Map.Entry<Set<Long>, QuarantineEntry> entry : entries.entrySet()) {
-            next = next.withEntries(next.entries.plus(
-                    entry.getKey(),
-                    new QuarantineEntry(
-                            entry.getValue().trials(),
-                            entry.getValue().released(),
-                            nowMillis,
-                            entry.getValue().nextTrialAtMillis(),
-                            entry.getValue().trialRequest())));
+            next = next.with(entry.getKey(), entry.getValue().withChangedAt(nowMillis));
         }
         return next;
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineEntry.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineEntry.java
@@ -26,9 +26,13 @@
         return new QuarantineEntry(trials, true, nowMillis, nowMillis, OptionalLong.empty());
     }
 
+    QuarantineEntry withChangedAt(long nowMillis) {
+        return new QuarantineEntry(trials, released, nowMillis, nextTrialAtMillis, trialRequest);
+    }
+
     QuarantineEntry withTrial(long request, long nowMillis) {
         return new QuarantineEntry(
-                trials + 1, false, changedAtMillis, nowMillis + trialDelayMillis(trials + 1), OptionalLong.of(request));
+                trials + 1, false, nowMillis, nowMillis + trialDelayMillis(trials + 1), OptionalLong.of(request));
     }
 
     boolean isNewerThan(QuarantineEntry other) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.model.fleet;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -133,7 +134,16 @@
      * @param unreadTokens prompt tokens of requests whose response has not started
      * @param adapters adapters used by the requests, each as {@code model/adapter}
      */
-    record TargetWork(String target, int running, long unreadTokens, Set<String> adapters) {}
+    record TargetWork(String target, int running, long unreadTokens, Set<String> adapters) {
+
+        /** Returns the sum of the requests of both at the same target. */
+        public TargetWork plus(TargetWork other) {
+            Set<String> allAdapters = new HashSet<>(adapters);
+            allAdapters.addAll(other.adapters);
+            return new TargetWork(
+                    target, running + other.running, unreadTokens + other.unreadTokens, Set.copyOf(allAdapters));
+        }
+    }
 
     /**
      * Demand for one model.
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
@@ -159,6 +159,43 @@
                 .isNotEmpty();
     }
 
+    // Guards against a released group that comes back from the store after the entry that wrote it has gone.
+    @Test
+    void groupReleasedByAnotherEntryIsRemovedFromTheStore() {
+        hear("b", BAD_IS_QUARANTINED);
+        fixture.state = fixture.state.withPeers(fixture.state.peers().minus("b"));
+        fixture.apply(new FleetEvent.ReleaseRequested(fixture.nowMillis, Set.of(BAD)));
+
+        fixture.advance(50);
+
+        assertThat(fixture.only(FleetEffect.StoreQuarantine.class).parts().released())
+                .isTrue();
+    }
+
+    @Test
+    void trialIsToldToThePeersAndStored() {
+        loseThreeEngines();
+        fixture.receiveHeartbeat("b");
+        fixture.advance(50);
+        fixture.nowMillis += 40_000;
+        fixture.configure(FleetFixture.configuration(2, FleetFixture.KEY));
+        fixture.state = fixture.state.withPeers(fixture.state.peers().minus("b"));
+
+        fixture.prompt("chat", BAD);
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
+        fixture.prompt("chat", BAD);
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.PROMPT_QUARANTINED);
+        fixture.advance(50);
+
+        assertThat(fixture.only(FleetEffect.StoreQuarantine.class).parts().trials())
+                .isEqualTo(1);
+        assertThat(PeerFlow.quarantine(fixture.state, fixture.nowMillis + 250)
+                        .orElseThrow()
+                        .quarantined())
+                .extracting(QuarantineReport.QuarantinedParts::trials)
+                .contains(1);
+    }
+
     @Test
     void heartbeatsSayNothingWhileThereIsNoEvidence() {
         fixture.receiveHeartbeat("b");
