Bound the number of groups that one evaluation adds

With all 64 places taken, a new group replaces the oldest one. The loop is bounded now (QuarantineTest.moreGroupsThanPlacesAreReplacedOldestFirst).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -60,9 +60,7 @@
         return with(engine, changed, nowMillis);
     }
 
-    /**
-     * Records that an engine has begun to answer a prompt with the given parts: none of them crashes engines.
-     */
+    /** Records that an engine has begun to answer a prompt with the given parts: none of them crashes engines. */
     public Quarantine withAnswer(Incarnation engine, long sentAtMillis, List<Long> parts, long nowMillis) {
         Quarantine next = withSurvivor(engine, sentAtMillis, nowMillis)
                 .withCleared(new HashSet<>(parts), nowMillis)
@@ -108,7 +106,7 @@
     public Quarantine withNewGroups(long nowMillis) {
         Quarantine next = this;
         Optional<Set<Long>> found = QuarantineRule.findGroup(next.losses.values(), next.activeGroups());
-        while (found.isPresent()) {
+        for (int added = 0; found.isPresent() && added < MAX_ENTRIES; added++) {
             next = next.withQuarantined(found.get(), 0, nowMillis);
             found = QuarantineRule.findGroup(next.losses.values(), next.activeGroups());
         }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
@@ -194,6 +194,20 @@
                 .isLessThan(16 * 1_024);
     }
 
+    // Guards against endless work when there are more groups than places for them.
+    @Test
+    void moreGroupsThanPlacesAreReplacedOldestFirst() {
+        for (int group = 0; group < 100; group++) {
+            for (int number = 0; number < 3; number++) {
+                lose(3 * group + number, 3 * group + number, 3 * group + number, 1_000L + group);
+            }
+            quarantine = quarantine.touch(NOW + 3_000L * group).withNewGroups(NOW + 3_000L * group);
+        }
+
+        assertThat(quarantine.entries()).hasSize(64);
+        assertThat(quarantine.findGroups(List.of(1_099L))).hasSize(1);
+    }
+
     @Test
     void oldEvidenceIsForgotten() {
         lose(1, 11, 1, BAD);
