--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerServerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerServerTest.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.net.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -9,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -22,6 +24,8 @@
 class PeerServerTest {
     private static final PeerMessage MESSAGE =
             new PeerMessage.WithdrawalNotice(new Member("a", 1, "zone", "url", "a:1"), "k");
+    private static final int OPEN_MILLIS = 500; // a server that closes the connection does so at once
+
     private final MessageMapper mapper = MessageMapper.messagePack();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
@@ -44,6 +48,10 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
             DataOutputStream output = new DataOutputStream(socket.getOutputStream());
             writeFrame(output, mapper.write(Map.of("type", "FromANewerBuild")));
+            socket.setSoTimeout(OPEN_MILLIS);
+            assertThatExceptionOfType(SocketTimeoutException.class)
+                    .isThrownBy(() -> socket.getInputStream().read());
+
             writeFrame(output, mapper.write(MESSAGE));
 
             assertThat(received.poll(5, TimeUnit.SECONDS)).isEqualTo(MESSAGE);
