--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -128,6 +128,21 @@
                 id, "engines", "10.0.0.1:" + id.length(), "zone-1", 64, false, Set.of(models), Set.of(), 7, 0);
     }
 
+    /** Returns the description of a target that started at the given Unix time. */
+    static TargetDescription startedAt(long unixMillis, TargetDescription target) {
+        return new TargetDescription(
+                target.id(),
+                target.service(),
+                target.address(),
+                target.zone(),
+                target.slots(),
+                target.leaving(),
+                target.models(),
+                target.atHand(),
+                unixMillis,
+                target.orderCount());
+    }
+
     static TargetDescription service(String id) {
         return new TargetDescription(
                 id, "payments", "10.0.0.2:" + id.length(), "zone-1", 6, false, Set.of(), Set.of(), 7, 0);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -280,4 +280,83 @@
         assertThat(fixture.state.targets().get("e1").holds("m1", Optional.of("a1")))
                 .isTrue();
     }
+
+    // Guards against a former leader whose late message makes the leader load a model for which there is no room.
+    @Test
+    void residencyFromAFormerLeaderDoesNotFreeMemory() {
+        FleetFixture full = FleetFixture.serving(FleetFixture.engine("e1", "m1", "m2"));
+        full.receiveHeartbeat("b");
+        full.acquireLeadership(4);
+        full.report("e1", 3, Set.of("m1", "m2"), Map.of());
+        full.advanceWithStoreReads(500);
+        full.renewLeadership();
+
+        full.receive(new FleetMessage.Residency("b", "e1", 7, Set.of("m1", "m2"), Map.of(), Set.of("m1")));
+        full.chat("chat", "m3");
+        full.advance(200);
+
+        assertThat(full.all(FleetEffect.SendOrder.class))
+                .noneMatch(sent -> sent.order().action() == OrderAction.LOAD_MODEL);
+    }
+
+    /** Returns an entry whose order to load model m2 was not answered before its engine started again, empty. */
+    private static FleetFixture restartedAfterAnUnansweredLoad() {
+        FleetFixture restarted = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        restarted.acquireLeadership(4);
+        restarted.report("e1", 2, Set.of("m1"), Map.of());
+        restarted.advanceWithStoreReads(500);
+        restarted.renewLeadership();
+        restarted.chat("chat", "m2");
+        restarted.advance(200);
+        EngineOrder unanswered = restarted.only(FleetEffect.SendOrder.class).order();
+        restarted.apply(new FleetEvent.OrderAnswered(restarted.nowMillis, unanswered, OrderResponse.UNKNOWN));
+        restarted.state = restarted.state.withRequests(
+                restarted.state.requests().minusAll(restarted.state.requests().keySet()));
+        restarted.listTargets(FleetFixture.startedAt(8, FleetFixture.engine("e1")));
+        return restarted;
+    }
+
+    // Guards against an engine that has no room for an order of its former start, which it may still execute.
+    @Test
+    void roomIsKeptForAnUnansweredOrderOfTheFormerStart() {
+        FleetFixture restarted = restartedAfterAnUnansweredLoad();
+        restarted.report("e1", new TargetReport(Set.of("m1"), Map.of(), false, 1, 8));
+
+        restarted.chat("chat", "m3");
+        restarted.advance(200);
+
+        assertThat(restarted.all(FleetEffect.SendOrder.class)).isEmpty();
+    }
+
+    // Guards against room that stays reserved for an order that the engine can no longer execute.
+    @Test
+    void roomIsUsedWhenTheOrderCountHasPassedTheUnansweredOrder() {
+        FleetFixture restarted = restartedAfterAnUnansweredLoad();
+        restarted.report("e1", new TargetReport(Set.of("m1"), Map.of(), false, 2, 8));
+
+        restarted.chat("chat", "m3");
+        restarted.advance(200);
+
+        assertThat(restarted.only(FleetEffect.SendOrder.class).order().model()).isEqualTo("m3");
+    }
+
+    // Guards against a load beside a model whose presence the leader has only just learnt from the engine.
+    @Test
+    void modelThatIsHeldAlreadyTakesRoomAtOnce() {
+        FleetFixture holding = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        holding.acquireLeadership(4);
+        holding.report("e1", 2, Set.of("m1"), Map.of());
+        holding.advanceWithStoreReads(500);
+        holding.renewLeadership();
+        holding.chat("chat", "m2");
+        holding.advance(200);
+        EngineOrder order = holding.only(FleetEffect.SendOrder.class).order();
+        holding.apply(new FleetEvent.OrderAnswered(holding.nowMillis, order, OrderResponse.HOLDS));
+
+        holding.chat("chat", "m3");
+        holding.advance(100);
+
+        assertThat(holding.all(FleetEffect.SendOrder.class)).isEmpty();
+        assertThat(holding.only(FleetEffect.ReadReport.class).target()).isEqualTo("e1");
+    }
 }
