An answer that an order already holds is followed by a report

Cause: after a 200 to the load of a model or adapter the leader corrected the order count only (or assumed it), not what the engine holds, so that it planned with room at an engine that had just said it holds more.

PlacementFlowTest#modelThatIsHeldAlreadyTakesRoomAtOnce failed before (no report was asked for) and passes now; its assertion on the report moved before the second request, whose own events have no report.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -182,18 +182,14 @@
             EngineOrder order,
             long nowMillis,
             List<FleetEffect> effects) {
-        boolean counted = order.action() == OrderAction.UNLOAD_ADAPTER;
-        OptionalLong count = OptionalLong.of(order.expectedCount() + (counted ? 1 : 0));
-        if (order.adapter().isPresent()) {
-            return adapters.applyAcceptedOrder(
-                    state,
-                    target,
-                    engineState.withAnswer(count, engineState.nextReportAtMillis()),
-                    order,
-                    nowMillis,
-                    effects);
+        if (order.action() == OrderAction.UNLOAD_ADAPTER) {
+            OptionalLong count = OptionalLong.of(order.expectedCount() + 1);
+            EngineState counted = engineState.withAnswer(count, engineState.nextReportAtMillis());
+            return adapters.applyAcceptedOrder(state, target, counted, order, nowMillis, effects);
         }
-        return state.with(state.placement().with(order.target(), engineState.withAnswer(count, nowMillis)));
+        // The engine holds something else than this entry assumes; a report tells what, and the order count.
+        EngineState unsure = engineState.withAnswer(OptionalLong.empty(), nowMillis);
+        return state.with(state.placement().with(order.target(), unsure));
     }
 
     private static FleetState requestReports(
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -352,11 +352,11 @@
         holding.advance(200);
         EngineOrder order = holding.only(FleetEffect.SendOrder.class).order();
         holding.apply(new FleetEvent.OrderAnswered(holding.nowMillis, order, OrderResponse.HOLDS));
+        assertThat(holding.only(FleetEffect.ReadReport.class).target()).isEqualTo("e1");
 
         holding.chat("chat", "m3");
         holding.advance(100);
 
         assertThat(holding.all(FleetEffect.SendOrder.class)).isEmpty();
-        assertThat(holding.only(FleetEffect.ReadReport.class).target()).isEqualTo("e1");
     }
 }
