Adapters are loaded only where the engine has memory for them

A load of a model keeps room for the adapters of all slots; the load of an adapter checked slots only. An engine that was filled before the system started may have less room.

PlacementFlowTest#adapterIsNotLoadedBeyondTheMemoryOfTheEngine failed before (two models of 99,950 MB and an adapter on 200,000 MB, and an order to load another of 60 MB).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -112,20 +112,20 @@
                             effects))
                     .orElse(state);
         }
-        if (hasFreeSlot(state, engine, target, nowMillis)) {
+        if (AdapterRoom.fits(state, engine, target, wish.model(), nowMillis)) {
             return Engines.sendOrder(
                     without, target, OrderAction.LOAD_ADAPTER, wish.model(), Optional.of(adapter), nowMillis, effects);
         }
         return unloadLeastRecentlyUsed(state, target, engineState, nowMillis, effects);
     }
 
-    /** Returns the same request for an idle engine that holds the model and has a free adapter slot. */
+    /** Returns the same request for an idle engine that holds the model and has room for the adapter. */
     private static Optional<PlacementWish> findAlternativeEngine(
             FleetState state, EngineDefinition engine, PlacementWish wish, long nowMillis) {
         return Engines.all(state, wish.service()).stream()
                 .filter(target -> target.holds(wish.model(), Optional.empty()) && !target.isPaused(nowMillis))
                 .filter(target -> Engines.stateOf(state, target).isIdle())
-                .filter(target -> hasFreeSlot(state, engine, target, nowMillis))
+                .filter(target -> AdapterRoom.fits(state, engine, target, wish.model(), nowMillis))
                 .min(Comparator.comparingLong(FleetTarget::pendingPrefillTokens)
                         .thenComparing(target -> target.description().id()))
                 .map(target -> new PlacementWish(
@@ -136,13 +136,6 @@
                         Optional.of(target.description().id())));
     }
 
-    private static boolean hasFreeSlot(FleetState state, EngineDefinition engine, FleetTarget target, long nowMillis) {
-        long reserved = Engines.laterLoads(state, target, nowMillis).stream()
-                .filter(order -> order.adapter().isPresent())
-                .count();
-        return Engines.stateOf(state, target).adapters().size() + reserved < engine.adapterPlaces();
-    }
-
     /** Unloads the least recently used adapter, unless even that one was used within {@link #MIN_KEEP_MILLIS}. */
     private static FleetState unloadLeastRecentlyUsed(
             FleetState state, FleetTarget target, EngineState engineState, long nowMillis, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -61,11 +61,20 @@
     }
 
     private static FleetConfiguration configuration(long version, double rate, String... keys) {
+        return configuration(version, rate, 70_000, keys);
+    }
+
+    /** Returns a configuration with models of the given weight each, on engines of 200,000 MB. */
+    static FleetConfiguration configurationWithModels(long version, long megabytes) {
+        return configuration(version, 1_000, megabytes, KEY);
+    }
+
+    private static FleetConfiguration configuration(long version, double rate, long megabytes, String... keys) {
         Workspace workspace = new Workspace("w", Set.of(keys), OptionalInt.empty(), rate, rate, true, 200);
         Map<String, ModelDefinition> models = Map.of(
-                "m1", new ModelDefinition("m1", 70_000, 1_200, 600, 400, 60),
-                "m2", new ModelDefinition("m2", 70_000, 1_200, 600, 400, 60),
-                "m3", new ModelDefinition("m3", 70_000, 1_200, 600, 400, 60));
+                "m1", new ModelDefinition("m1", megabytes, 1_200, 600, 400, 60),
+                "m2", new ModelDefinition("m2", megabytes, 1_200, 600, 400, 60),
+                "m3", new ModelDefinition("m3", megabytes, 1_200, 600, 400, 60));
         EngineDefinition engine = new EngineDefinition(64, 160_000, 200_000, 2, 2.4, models);
         return FleetConfiguration.of(
                 version,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PlacementFlowTest.java
@@ -91,6 +91,20 @@
         assertThat(fixture.all(FleetEffect.SendOrder.class)).isEmpty();
     }
 
+    // Guards against adapters for which an engine that was filled before the system started has no memory.
+    @Test
+    void adapterIsNotLoadedBeyondTheMemoryOfTheEngine() {
+        FleetFixture tight = FleetFixture.serving(FleetFixture.engine("e1", "m1", "m2"));
+        tight.configure(FleetFixture.configurationWithModels(2, 99_950));
+        tight.acquireLeadership(4);
+        tight.report("e1", 3, Set.of("m1", "m2"), Map.of("m1", Set.of("a1")));
+
+        tight.arrive("chat", FleetFixture.KEY, Optional.of("m1"), Optional.of("a2"), 100);
+
+        assertThat(tight.all(FleetEffect.SendOrder.class))
+                .noneMatch(sent -> sent.order().action() == OrderAction.LOAD_ADAPTER);
+    }
+
     @Test
     void unusedAdapterIsUnloadedForAnother() {
         loadAdapter("a1");
