--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -168,6 +168,11 @@
         read(Feed.CONFIGURATION, nowMillis, new FeedEntry.Configuration(configuration));
     }
 
+    /** Returns a request of a peer for an adapter on an engine. */
+    static FleetMessage wish(String peer, String model, String adapter, String engine) {
+        return new FleetMessage.PlacementWish(peer, "engines", model, Optional.of(adapter), Optional.of(engine));
+    }
+
     void listTargets(TargetDescription... targets) {
         FeedEntry[] entries = new FeedEntry[targets.length];
         for (int index = 0; index < targets.length; index++) {
