An adapter whose unload did not happen is used again

Cause: the slot of an adapter that is ordered to be unloaded was marked by a time at which it is usable that never comes. If the order was refused or not answered, the report that follows listed the adapter, and the mark stayed: no request could use it, while each request for it renewed its last use, so that it was not unloaded for another either.

Now the mark is a field of its own, and a report that lists the adapter removes it. AdapterFlowTest#adapterIsUsedAgainAfterAnUnloadThatDidNotHappen failed before.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -150,7 +150,7 @@
         }
         AdapterKey key = oldest.get();
         EngineState unloading =
-                engineState.with(key, engineState.adapters().get(key).unloading());
+                engineState.with(key, engineState.adapters().get(key).withUnloading(true));
         String id = target.description().id();
         FleetState updated =
                 broadcastAdapters(state.with(state.placement().with(id, unloading)), target, nowMillis, effects);
@@ -176,7 +176,7 @@
             return state.with(state.placement().with(order.target(), engineState.without(key)));
         }
         effects.add(new FleetEffect.WakeAfter(ADAPTER_LOAD_MILLIS));
-        AdapterSlot slot = new AdapterSlot(nowMillis + ADAPTER_LOAD_MILLIS, nowMillis);
+        AdapterSlot slot = new AdapterSlot(nowMillis + ADAPTER_LOAD_MILLIS, nowMillis, false);
         return state.with(state.placement().with(order.target(), engineState.with(key, slot)));
     }
 
@@ -192,7 +192,7 @@
         FleetState next = state;
         for (FleetTarget target : Engines.all(state, service)) {
             boolean arrived = Engines.stateOf(state, target).adapters().entrySet().stream()
-                    .anyMatch(entry -> entry.getValue().usableAtMillis() <= nowMillis
+                    .anyMatch(entry -> entry.getValue().isUsable(nowMillis)
                             && entry.getValue().usableAtMillis() > nowMillis - ARRIVAL_WINDOW_MILLIS
                             && !holds(target, entry.getKey()));
             next = arrived ? broadcastAdapters(next, target, nowMillis, effects) : next;
@@ -207,7 +207,7 @@
     static Map<String, Set<String>> usableAdapters(EngineState engineState, long nowMillis) {
         Map<String, Set<String>> byModel = new HashMap<>();
         engineState.adapters().forEach((key, slot) -> {
-            if (slot.usableAtMillis() <= nowMillis) {
+            if (slot.isUsable(nowMillis)) {
                 byModel.computeIfAbsent(key.model(), model -> new HashSet<>()).add(key.adapter());
             }
         });
@@ -222,7 +222,8 @@
             for (String adapter : model.getValue()) {
                 AdapterKey key = new AdapterKey(model.getKey(), adapter);
                 AdapterSlot known = engineState.adapters().get(key);
-                adapters = adapters.plus(key, known == null ? new AdapterSlot(nowMillis, 0) : known);
+                adapters = adapters.plus(
+                        key, known == null ? new AdapterSlot(nowMillis, 0, false) : known.withUnloading(false));
             }
         }
         return adapters;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterSlot.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterSlot.java
@@ -3,17 +3,21 @@
 /**
  * A slot of an engine that an adapter occupies.
  *
- * @param usableAtMillis when requests can use the adapter
+ * @param usableAtMillis when requests can use the adapter, unless it is being unloaded
  * @param lastUsedAtMillis when a request last used it
+ * @param unloading whether it has been ordered to be unloaded
  */
-public record AdapterSlot(long usableAtMillis, long lastUsedAtMillis) {
+public record AdapterSlot(long usableAtMillis, long lastUsedAtMillis, boolean unloading) {
 
-    /** Returns the slot of an adapter that is being unloaded, which requests cannot use any more. */
-    AdapterSlot unloading() {
-        return new AdapterSlot(Long.MAX_VALUE, lastUsedAtMillis);
+    boolean isUsable(long nowMillis) {
+        return !unloading && usableAtMillis <= nowMillis;
+    }
+
+    AdapterSlot withUnloading(boolean ordered) {
+        return new AdapterSlot(usableAtMillis, lastUsedAtMillis, ordered);
     }
 
     AdapterSlot usedAt(long nowMillis) {
-        return new AdapterSlot(usableAtMillis, Math.max(lastUsedAtMillis, nowMillis));
+        return new AdapterSlot(usableAtMillis, Math.max(lastUsedAtMillis, nowMillis), unloading);
     }
 }
