A request for an adapter that should be there makes the leader ask the engine

Cause: when an order that was not answered drops an adapter seconds later, the engine answers its requests with 421 and the entries ask the leader for the adapter. The leader takes it to be held and repeats what it believes, until some other order to that engine is refused for its count.

Now a request for an adapter that all entries have known of for a second makes the leader read a report before its next order. AdapterFlowTest#requestForAnAdapterThatIsHeldAlreadyIsCheckedByAReport failed before; the engine of the test holds the adapter for 1.1 s instead of 0.8 s now.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.EngineOrder;
@@ -24,6 +25,9 @@
     private static final long REQUEST_EXPIRY_MILLIS = 1_500; // entries repeat pending requests sooner
     private static final long ADAPTER_LOAD_MILLIS = 16; // loading the largest adapter takes 14 ms at most
     private static final long MIN_KEEP_MILLIS = 400; // longer than the interval of heartbeats, which report use
+    /** After this time all entries know of a load; a request for the adapter means that the engine may have lost it. */
+    private static final long ANNOUNCED_MILLIS = 1_000;
+
     private static final long ARRIVAL_WINDOW_MILLIS = 500; // ten times the interval between ticks
 
     FleetState onWish(FleetState state, long nowMillis, PlacementWish wish, List<FleetEffect> effects) {
@@ -40,9 +44,11 @@
         EngineState engineState = Engines.stateOf(state, target);
         AdapterSlot slot = engineState.adapters().get(key);
         if (slot != null) {
-            FleetState used = state.with(
-                    state.placement().with(target.description().id(), engineState.with(key, slot.usedAt(nowMillis))));
-            return broadcastAdapters(used, target, nowMillis, effects);
+            boolean doubtful = engineState.isIdle() && nowMillis - slot.usableAtMillis() > ANNOUNCED_MILLIS;
+            EngineState used = engineState.with(key, slot.usedAt(nowMillis));
+            EngineState checked = doubtful ? used.withAnswer(OptionalLong.empty(), nowMillis) : used;
+            return broadcastAdapters(
+                    state.with(state.placement().with(target.description().id(), checked)), target, nowMillis, effects);
         }
         PlacementWish anonymous = new PlacementWish("", wish.service(), wish.model(), wish.adapter(), wish.target());
         FleetState recorded = state.with(state.placement().with(anonymous, nowMillis));
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
@@ -83,7 +83,7 @@
     @Test
     void requestForAnAdapterThatIsHeldAlreadyIsCheckedByAReport() {
         fixture.receiveHeartbeat("b");
-        advance(200);
+        advance(500);
 
         fixture.receive(FleetFixture.wish("b", "m1", "a1", "e1"));
         fixture.advance(50);
