Adapters are loaded in the order in which they were asked for

Cause: the leader went through waiting adapters in the order of a hash map, kept only the time of the latest request, and gave a slot that had been emptied for one of them to whichever came first in that order. While slots are scarce the same adapters came last each time.

Now a wish keeps the time of the first request, also while its callers pause before they ask again and when its engine changes; the oldest goes first, and an engine whose next slot belongs to an older wish is not given to a younger one.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -22,7 +22,6 @@
  * load order on, before requests can use the adapter in it.
  */
 final class AdapterFlow {
-    private static final long REQUEST_EXPIRY_MILLIS = 1_500; // entries repeat pending requests sooner
     private static final long ADAPTER_LOAD_MILLIS = 16; // loading the largest adapter takes 14 ms at most
     private static final long MIN_KEEP_MILLIS = 400; // longer than the interval of heartbeats, which report use
     /** After this time all entries know of a load; a request for the adapter means that the engine may have lost it. */
@@ -50,10 +49,13 @@
             return broadcastAdapters(
                     state.with(state.placement().with(target.description().id(), checked)), target, nowMillis, effects);
         }
-        PlacementWish anonymous = new PlacementWish("", wish.service(), wish.model(), wish.adapter(), wish.target());
-        FleetState recorded = state.with(state.placement().with(anonymous, nowMillis));
+        AdapterWish first =
+                new AdapterWish(wish.service(), key, target.description().id(), nowMillis, nowMillis);
+        AdapterWish known = state.placement().wishes().getOrDefault(first.id(), first);
+        AdapterWish asked = canLoad(state, known) ? known : known.withTarget(first.target());
+        FleetState recorded = state.with(state.placement().with(asked.askedAgain(nowMillis)));
         return state.configuration()
-                .flatMap(known -> known.engine(wish.service()))
+                .flatMap(configuration -> configuration.engine(wish.service()))
                 .map(engine -> loadAdapters(recorded, wish.service(), engine, nowMillis, effects))
                 .orElse(recorded);
     }
@@ -76,70 +78,88 @@
         return next;
     }
 
+    /** Loads the adapters that wait for the engines of a service; the one that has waited longest goes first. */
     FleetState loadAdapters(
             FleetState state, String service, EngineDefinition engine, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
-        for (Map.Entry<PlacementWish, Long> wish : state.placement().wishes().entrySet()) {
-            if (wish.getKey().service().equals(service)) {
-                next = loadAdapter(next, engine, wish.getKey(), wish.getValue(), nowMillis, effects);
+        Set<String> claimed = new HashSet<>();
+        for (AdapterWish wish : queue(state, service)) {
+            if (wish.isOver(nowMillis) || isHeld(next, wish)) {
+                next = next.with(next.placement().without(wish));
+            } else if (wish.isPending(nowMillis) && canLoad(next, wish)) {
+                next = loadAdapter(next, engine, wish, claimed, nowMillis, effects);
             }
         }
         return next;
     }
 
+    private static List<AdapterWish> queue(FleetState state, String service) {
+        return state.placement().wishes().values().stream()
+                .filter(wish -> wish.service().equals(service))
+                .sorted(Comparator.comparingLong(AdapterWish::firstAskedAtMillis)
+                        .thenComparing(wish -> wish.key().model())
+                        .thenComparing(wish -> wish.key().adapter()))
+                .toList();
+    }
+
+    private static boolean isHeld(FleetState state, AdapterWish wish) {
+        return Optional.ofNullable(state.targets().get(wish.target()))
+                .map(target -> Engines.stateOf(state, target).adapters().containsKey(wish.key()))
+                .orElse(false);
+    }
+
+    private static boolean canLoad(FleetState state, AdapterWish wish) {
+        FleetTarget target = state.targets().get(wish.target());
+        return target != null && !target.isLeaving() && target.holds(wish.key().model(), Optional.empty());
+    }
+
+    /** @param claimed engines whose next free slot belongs to an adapter that has waited longer */
     private static FleetState loadAdapter(
             FleetState state,
             EngineDefinition engine,
-            PlacementWish wish,
-            long requestedAtMillis,
+            AdapterWish wish,
+            Set<String> claimed,
             long nowMillis,
             List<FleetEffect> effects) {
-        String id = wish.target().orElseThrow();
-        String adapter = wish.adapter().orElseThrow();
-        FleetTarget target = state.targets().get(id);
-        FleetState without = state.with(state.placement().without(wish));
-        boolean obsolete = target == null
-                || target.isLeaving()
-                || !target.holds(wish.model(), Optional.empty())
-                || Engines.stateOf(state, target).adapters().containsKey(new AdapterKey(wish.model(), adapter))
-                || nowMillis - requestedAtMillis > REQUEST_EXPIRY_MILLIS;
-        if (obsolete) {
-            return without;
-        }
+        FleetTarget target = state.targets().get(wish.target());
         EngineState engineState = Engines.stateOf(state, target);
-        if (!engineState.isIdle() || target.isPaused(nowMillis)) {
-            return findAlternativeEngine(state, engine, wish, nowMillis)
-                    .map(other -> loadAdapter(
-                            without.with(without.placement().with(other, requestedAtMillis)),
-                            engine,
-                            other,
-                            requestedAtMillis,
-                            nowMillis,
-                            effects))
+        boolean available = engineState.isIdle() && !target.isPaused(nowMillis) && !claimed.contains(wish.target());
+        if (!available) {
+            claimed.add(wish.target());
+            return findAlternativeEngine(state, engine, wish, claimed, nowMillis)
+                    .map(other -> order(state, other, OrderAction.LOAD_ADAPTER, wish.key(), nowMillis, effects))
+                    .map(ordered -> ordered.with(ordered.placement().without(wish)))
                     .orElse(state);
         }
-        if (AdapterRoom.fits(state, engine, target, wish.model(), nowMillis)) {
-            return Engines.sendOrder(
-                    without, target, OrderAction.LOAD_ADAPTER, wish.model(), Optional.of(adapter), nowMillis, effects);
+        if (AdapterRoom.fits(state, engine, target, wish.key().model(), nowMillis)) {
+            FleetState without = state.with(state.placement().without(wish));
+            return order(without, target, OrderAction.LOAD_ADAPTER, wish.key(), nowMillis, effects);
         }
+        claimed.add(wish.target());
         return unloadLeastRecentlyUsed(state, target, engineState, nowMillis, effects);
     }
 
-    /** Returns the same request for an idle engine that holds the model and has room for the adapter. */
-    private static Optional<PlacementWish> findAlternativeEngine(
-            FleetState state, EngineDefinition engine, PlacementWish wish, long nowMillis) {
+    private static FleetState order(
+            FleetState state,
+            FleetTarget target,
+            OrderAction action,
+            AdapterKey key,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        return Engines.sendOrder(state, target, action, key.model(), Optional.of(key.adapter()), nowMillis, effects);
+    }
+
+    /** Returns an idle engine that holds the model and has room for the adapter. */
+    private static Optional<FleetTarget> findAlternativeEngine(
+            FleetState state, EngineDefinition engine, AdapterWish wish, Set<String> claimed, long nowMillis) {
+        String model = wish.key().model();
         return Engines.all(state, wish.service()).stream()
-                .filter(target -> target.holds(wish.model(), Optional.empty()) && !target.isPaused(nowMillis))
+                .filter(target -> target.holds(model, Optional.empty()) && !target.isPaused(nowMillis))
+                .filter(target -> !claimed.contains(target.description().id()))
                 .filter(target -> Engines.stateOf(state, target).isIdle())
-                .filter(target -> AdapterRoom.fits(state, engine, target, wish.model(), nowMillis))
+                .filter(target -> AdapterRoom.fits(state, engine, target, model, nowMillis))
                 .min(Comparator.comparingLong(FleetTarget::pendingPrefillTokens)
-                        .thenComparing(target -> target.description().id()))
-                .map(target -> new PlacementWish(
-                        wish.sender(),
-                        wish.service(),
-                        wish.model(),
-                        wish.adapter(),
-                        Optional.of(target.description().id())));
+                        .thenComparing(target -> target.description().id()));
     }
 
     /** Unloads the least recently used adapter, unless even that one was used within {@link #MIN_KEEP_MILLIS}. */
@@ -160,14 +180,7 @@
         String id = target.description().id();
         FleetState updated =
                 broadcastAdapters(state.with(state.placement().with(id, unloading)), target, nowMillis, effects);
-        return Engines.sendOrder(
-                updated,
-                updated.targets().get(id),
-                OrderAction.UNLOAD_ADAPTER,
-                key.model(),
-                Optional.of(key.adapter()),
-                nowMillis,
-                effects);
+        return order(updated, updated.targets().get(id), OrderAction.UNLOAD_ADAPTER, key, nowMillis, effects);
     }
 
     FleetState applyAcceptedOrder(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jackdawbeam.model.fleet.EngineOrder;
-import org.jackdawbeam.model.fleet.FleetMessage.PlacementWish;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -11,7 +10,7 @@
  * State that the placement leader keeps.
  *
  * @param engines known state of engines by target id
- * @param wishes requested adapters, with the time of the latest request
+ * @param wishes requested adapters
  * @param reservations models for which engines are making room, by target id
  * @param unanswered orders to load that have not been answered, by target id
  * @param trend demand for models
@@ -21,7 +20,7 @@
  */
 public record PlacementState(
         PMap<String, EngineState> engines,
-        PMap<PlacementWish, Long> wishes,
+        PMap<AdapterWish.Id, AdapterWish> wishes,
         PMap<String, Reservation> reservations,
         PMap<String, List<UnansweredOrder>> unanswered,
         DemandTrend trend,
@@ -57,12 +56,12 @@
         return withEngines(engines.minus(target)).withReservations(reservations.minus(target));
     }
 
-    PlacementState with(PlacementWish wish, long nowMillis) {
-        return withWishes(wishes.plus(wish, nowMillis));
+    PlacementState with(AdapterWish wish) {
+        return withWishes(wishes.plus(wish.id(), wish));
     }
 
-    PlacementState without(PlacementWish wish) {
-        return withWishes(wishes.minus(wish));
+    PlacementState without(AdapterWish wish) {
+        return withWishes(wishes.minus(wish.id()));
     }
 
     PlacementState withReservations(PMap<String, Reservation> changed) {
@@ -120,7 +119,7 @@
                 changed, wishes, reservations, unanswered, trend, availableLoads, accruedAtMillis, plannedAtMillis);
     }
 
-    private PlacementState withWishes(PMap<PlacementWish, Long> changed) {
+    private PlacementState withWishes(PMap<AdapterWish.Id, AdapterWish> changed) {
         return new PlacementState(
                 engines, changed, reservations, unanswered, trend, availableLoads, accruedAtMillis, plannedAtMillis);
     }
