An adapter that waits for a second gets a slot although all are in use

Cause: an adapter was unloaded only if it had not been used for 400 ms.

Now a wish that has waited for a second ends the stay of the adapter that has been held longest, for a second at least: it receives no more requests, and is unloaded when those that use it have ended. Its own next requests queue behind. AdapterFlowTest#adapterIsLoadedWithinADeadlineWhileOthersAreUsedAllTheTime failed before: not loaded within 4 s, the shortest deadline of a generation. The test now answers reports and has a workspace that is never over its rate; both had ended the use of the other adapters early.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -27,6 +27,7 @@
     /** After this time all entries know of a load; a request for the adapter means that the engine may have lost it. */
     private static final long ANNOUNCED_MILLIS = 1_000;
 
+    private static final long MAX_WAIT_MILLIS = 1_000; // leaves time to be served within the shortest deadlines
     private static final long ARRIVAL_WINDOW_MILLIS = 500; // ten times the interval between ticks
 
     FleetState onWish(FleetState state, long nowMillis, PlacementWish wish, List<FleetEffect> effects) {
@@ -42,7 +43,7 @@
         AdapterKey key = new AdapterKey(wish.model(), wish.adapter().get());
         EngineState engineState = Engines.stateOf(state, target);
         AdapterSlot slot = engineState.adapters().get(key);
-        if (slot != null) {
+        if (slot != null && !slot.unloading()) {
             boolean doubtful = engineState.isIdle() && nowMillis - slot.usableAtMillis() > ANNOUNCED_MILLIS;
             EngineState used = engineState.with(key, slot.usedAt(nowMillis));
             EngineState checked = doubtful ? used.withAnswer(OptionalLong.empty(), nowMillis) : used;
@@ -104,7 +105,8 @@
 
     private static boolean isHeld(FleetState state, AdapterWish wish) {
         return Optional.ofNullable(state.targets().get(wish.target()))
-                .map(target -> Engines.stateOf(state, target).adapters().containsKey(wish.key()))
+                .map(target -> Engines.stateOf(state, target).adapters().get(wish.key()))
+                .map(slot -> !slot.unloading())
                 .orElse(false);
     }
 
@@ -131,12 +133,20 @@
                     .map(ordered -> ordered.with(ordered.placement().without(wish)))
                     .orElse(state);
         }
+        AdapterSlot kept = engineState.adapters().get(wish.key());
+        if (kept != null) {
+            FleetState revived = state.with(state.placement()
+                    .with(wish.target(), engineState.with(wish.key(), kept.withUnloading(false)))
+                    .without(wish));
+            return broadcastAdapters(revived, target, nowMillis, effects);
+        }
         if (AdapterRoom.fits(state, engine, target, wish.key().model(), nowMillis)) {
             FleetState without = state.with(state.placement().without(wish));
             return order(without, target, OrderAction.LOAD_ADAPTER, wish.key(), nowMillis, effects);
         }
         claimed.add(wish.target());
-        return unloadLeastRecentlyUsed(state, target, engineState, nowMillis, effects);
+        boolean overdue = nowMillis - wish.firstAskedAtMillis() > MAX_WAIT_MILLIS;
+        return makeRoom(state, target, engineState, overdue, nowMillis, effects);
     }
 
     private static FleetState order(
@@ -162,9 +172,18 @@
                         .thenComparing(target -> target.description().id()));
     }
 
-    /** Unloads the least recently used adapter, unless even that one was used within {@link #MIN_KEEP_MILLIS}. */
-    private static FleetState unloadLeastRecentlyUsed(
-            FleetState state, FleetTarget target, EngineState engineState, long nowMillis, List<FleetEffect> effects) {
+    /**
+     * Unloads the least recently used adapter, unless even that one was used within {@link #MIN_KEEP_MILLIS}. If the
+     * wish is overdue, the adapter that has been held longest then receives no more requests, so that it can be
+     * unloaded when those that use it have ended.
+     */
+    private static FleetState makeRoom(
+            FleetState state,
+            FleetTarget target,
+            EngineState engineState,
+            boolean overdue,
+            long nowMillis,
+            List<FleetEffect> effects) {
         Optional<AdapterKey> oldest = engineState.adapters().entrySet().stream()
                 .filter(entry -> nowMillis - entry.getValue().lastUsedAtMillis() > MIN_KEEP_MILLIS)
                 .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterSlot> entry) ->
@@ -172,7 +191,7 @@
                         .thenComparing(entry -> entry.getKey().adapter()))
                 .map(Map.Entry::getKey);
         if (oldest.isEmpty()) {
-            return state;
+            return overdue ? retire(state, target, engineState, nowMillis, effects) : state;
         }
         AdapterKey key = oldest.get();
         EngineState unloading =
@@ -183,6 +202,24 @@
         return order(updated, updated.targets().get(id), OrderAction.UNLOAD_ADAPTER, key, nowMillis, effects);
     }
 
+    private static FleetState retire(
+            FleetState state, FleetTarget target, EngineState engineState, long nowMillis, List<FleetEffect> effects) {
+        boolean retiring = engineState.adapters().values().stream().anyMatch(AdapterSlot::unloading);
+        Optional<AdapterKey> longest = engineState.adapters().entrySet().stream()
+                .filter(entry -> nowMillis - entry.getValue().usableAtMillis() > MAX_WAIT_MILLIS)
+                .min(Comparator.comparingLong((Map.Entry<AdapterKey, AdapterSlot> entry) ->
+                                entry.getValue().usableAtMillis())
+                        .thenComparing(entry -> entry.getKey().adapter()))
+                .map(Map.Entry::getKey);
+        if (retiring || longest.isEmpty()) {
+            return state;
+        }
+        AdapterSlot slot = engineState.adapters().get(longest.get());
+        EngineState changed = engineState.with(longest.get(), slot.withUnloading(true));
+        return broadcastAdapters(
+                state.with(state.placement().with(target.description().id(), changed)), target, nowMillis, effects);
+    }
+
     FleetState applyAcceptedOrder(
             FleetState state,
             FleetTarget target,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterSlot.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterSlot.java
@@ -5,7 +5,7 @@
  *
  * @param usableAtMillis when requests can use the adapter, unless it is being unloaded
  * @param lastUsedAtMillis when a request last used it
- * @param unloading whether it has been ordered to be unloaded
+ * @param unloading whether it receives no more requests because it is about to be unloaded
  */
 public record AdapterSlot(long usableAtMillis, long lastUsedAtMillis, boolean unloading) {
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +25,7 @@
     private final List<AttemptId> running = new ArrayList<>();
 
     AdapterFlowTest() {
+        fixture.configure(FleetFixture.generousConfiguration(2));
         fixture.acquireLeadership(4);
         fixture.report("e1", 3, Set.of("m1"), Map.of("m1", Set.of("a1", "a2")));
         advance(600);
@@ -42,7 +45,23 @@
 
     private void answerOrders() {
         fixture.all(FleetEffect.StartAttempt.class).forEach(start -> running.add(start.attempt()));
+        boolean reportAsked = !fixture.all(FleetEffect.ReadReport.class).isEmpty();
         fixture.all(FleetEffect.SendOrder.class).forEach(sent -> answer(sent.order()));
+        if (reportAsked) {
+            report();
+        }
+    }
+
+    /** Reports what the leader believes; orders are finished by then. */
+    private void report() {
+        EngineState believed = fixture.state.placement().engines().get("e1");
+        Map<String, Set<String>> adapters = new HashMap<>();
+        believed.adapters()
+                .keySet()
+                .forEach(key -> adapters.computeIfAbsent(key.model(), model -> new HashSet<>())
+                        .add(key.adapter()));
+        fixture.report("e1", believed.minimumOrderCount(), believed.models().orElseThrow(), adapters);
+        answerOrders();
     }
 
     private void completeRequests() {
