Entries log the limit that a target states on requests

Server-Limit was not read at all. Entries now decode it (a decimal number, zero included; anything else is logged and ignored), remember it with the target until the target starts again or answers a later request without it, and write target_limited and target_limit_over; the metric jackdawbeam_limited_targets counts such targets. Requests are sent as before.

Hypotheses before any change of logic: the limit is ignored (by reading, sure); kept by each host for itself it would still be exceeded by the number of hosts.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -24,11 +24,13 @@
 
     private final DispatchFlow dispatch;
     private final TargetLeavingFlow leaving;
+    private final TargetLimitFlow limits;
     private final QuarantineFlow quarantine;
 
-    AttemptFlow(DispatchFlow dispatch, TargetLeavingFlow leaving, QuarantineFlow quarantine) {
+    AttemptFlow(DispatchFlow dispatch, TargetLeavingFlow leaving, TargetLimitFlow limits, QuarantineFlow quarantine) {
         this.dispatch = dispatch;
         this.leaving = leaving;
+        this.limits = limits;
         this.quarantine = quarantine;
     }
 
@@ -42,6 +44,13 @@
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
         FleetState loaded =
                 withTarget(notified, id, target -> target.withStatement(event.statement(), event.nowMillis()));
+        FleetState limited = limits.onTargetAnswer(
+                loaded,
+                id,
+                event.statement().requestsPerSecond(),
+                sentAtMillis(state, request, event.nowMillis()),
+                event.nowMillis(),
+                effects);
         event.statement()
                 .retryDelayMillis()
                 .ifPresent(millis ->
@@ -50,8 +59,8 @@
         if (rejected) {
             effects.add(new FleetEffect.CancelAttempt(event.attempt()));
             FleetState corrected = event.status() == MISDIRECTED_REQUEST
-                    ? withTarget(loaded, id, target -> withoutAdapter(target, request))
-                    : loaded;
+                    ? withTarget(limited, id, target -> withoutAdapter(target, request))
+                    : limited;
             // A target that states when to retry is healthy; it gets no requests until then.
             boolean healthy = event.statement().retryDelayMillis().isPresent();
             FleetState known = healthy ? corrected : withTarget(corrected, id, FleetTarget::answeredWithError);
@@ -61,7 +70,7 @@
         boolean cannotContinue = request.answerStarted() && !(event.status() == OK && event.sameType());
         boolean failed = event.status() >= FIRST_SERVER_ERROR || cannotContinue;
         FleetState updated = withTarget(
-                loaded,
+                limited,
                 id,
                 target ->
                         failed ? target.answeredWithError() : target.succeeded().withAnswerBegun(event.attempt()));
@@ -144,6 +153,12 @@
         return DispatchFlow.releaseAttempt(learnt, running).without(found.get());
     }
 
+    private static long sentAtMillis(FleetState state, FleetRequest request, long nowMillis) {
+        return findOutstanding(state, (RequestPhase.Running) request.phase())
+                .map(OutstandingAttempt::sentAtMillis)
+                .orElse(nowMillis);
+    }
+
     private static Optional<OutstandingAttempt> findOutstanding(FleetState state, RequestPhase.Running running) {
         return Optional.ofNullable(state.targets().get(running.target()))
                 .map(target -> target.outstanding().get(running.attempt()));
@@ -228,9 +243,7 @@
             long nowMillis,
             List<FleetEffect> effects) {
         RequestPhase.Running running = (RequestPhase.Running) original.phase();
-        long sentAtMillis = findOutstanding(state, running)
-                .map(OutstandingAttempt::sentAtMillis)
-                .orElse(nowMillis);
+        long sentAtMillis = sentAtMillis(state, original, nowMillis);
         boolean adapterMissing = !mayHaveRun && original.call().adapter().isPresent();
         FleetRequest request = adapterMissing ? original : original.withFailedAttempt(target, mayHaveRun);
         FleetState released = DispatchFlow.releaseAttempt(state, running).with(request);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -22,9 +22,10 @@
     private final PeerFlow peers = new PeerFlow(leadership);
     private final HubFlow hubs = new HubFlow(feeds, leadership);
     private final TargetLeavingFlow leaving = new TargetLeavingFlow();
+    private final TargetLimitFlow limits = new TargetLimitFlow();
     private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow());
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
-    private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving, quarantine);
+    private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving, limits, quarantine);
     private final StopFlow stop = new StopFlow(peers, dispatch);
 
     /** Returns the state after the event and the effects to execute. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -23,6 +23,7 @@
  * @param prefixes prompt prefixes that it has probably cached
  * @param load load that it stated with its latest answer
  * @param announcedLeaving whether it has stated with an answer, to this entry or another, that it is about to leave
+ * @param limit limit on the requests of all entries, while the target states one
  * @param residencyAtMillis when the placement leader last announced its models; far in the past if never
  * @param goneAtMillis time from which it is considered gone, if its entry in the list has expired
  */
@@ -35,6 +36,7 @@
         PrefixIndex prefixes,
         Optional<TargetLoad> load,
         boolean announcedLeaving,
+        Optional<RequestLimit> limit,
         long residencyAtMillis,
         OptionalLong goneAtMillis) {
     private static final long NEVER = -1_000_000_000;
@@ -54,6 +56,7 @@
                 PrefixIndex.empty(),
                 Optional.empty(),
                 false,
+                Optional.empty(),
                 NEVER,
                 OptionalLong.empty());
     }
@@ -122,6 +125,10 @@
         return changed(builder -> builder.announcedLeaving = true);
     }
 
+    FleetTarget withLimit(Optional<RequestLimit> stated) {
+        return changed(builder -> builder.limit = stated);
+    }
+
     /** Returns whether the target is about to leave, by the list or by its own statement, whichever came first. */
     boolean isLeaving() {
         return announcedLeaving || description.leaving();
@@ -206,6 +213,7 @@
         private PrefixIndex prefixes;
         private Optional<TargetLoad> load;
         private boolean announcedLeaving;
+        private Optional<RequestLimit> limit;
         private long residencyAtMillis;
         private OptionalLong goneAtMillis;
 
@@ -218,6 +226,7 @@
             prefixes = source.prefixes;
             load = source.load;
             announcedLeaving = source.announcedLeaving;
+            limit = source.limit;
             residencyAtMillis = source.residencyAtMillis;
             goneAtMillis = source.goneAtMillis;
         }
@@ -232,6 +241,7 @@
                     prefixes,
                     load,
                     announcedLeaving,
+                    limit,
                     residencyAtMillis,
                     goneAtMillis);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -38,6 +38,7 @@
     private final Gauge placementDuty;
     private final Gauge peers;
     private final Gauge quarantinedParts;
+    private final Gauge limitedTargets;
     private final Gauge suspectedLosses;
     private final Gauge droppedLogLines;
     private final Map<AttemptId, Long> startedAt = new HashMap<>();
@@ -63,6 +64,7 @@
         this.peers = gauge("jackdawbeam_peers", "Other entries that are known.");
         this.quarantinedParts =
                 gauge("jackdawbeam_quarantined_parts", "Groups of prompt parts that are not sent to engines.");
+        this.limitedTargets = gauge("jackdawbeam_limited_targets", "Targets that limit the requests of all entries.");
         this.suspectedLosses = gauge(
                 "jackdawbeam_suspected_losses", "Recent losses of engines under requests that waited for answers.");
         this.droppedLogLines = gauge("jackdawbeam_log_lines_left_out", "Log lines that were not written.");
@@ -104,6 +106,9 @@
                 placementDuty.set(state.leadership().fencingToken().isPresent() ? 1 : 0);
                 peers.set(state.peers().size());
                 quarantinedParts.set(state.quarantine().activeGroups().size());
+                limitedTargets.set(state.targets().values().stream()
+                        .filter(target -> target.limit().isPresent())
+                        .count());
                 suspectedLosses.set(state.quarantine().losses().size());
             }
             default -> {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -34,11 +34,19 @@
     static final String KEY = "key";
 
     final FleetReducer reducer = new FleetReducer();
-    FleetState state = FleetState.initial(SELF, BOUNDS);
+    FleetState state;
     long nowMillis = 100_000;
     List<FleetEffect> effects = new ArrayList<>();
     private long lastRequest;
 
+    FleetFixture() {
+        this(SELF);
+    }
+
+    FleetFixture(FleetMember self) {
+        state = FleetState.initial(self, BOUNDS);
+    }
+
     static FleetMember member(String id) {
         return new FleetMember(id, id + "/1", "zone-1", id + ":1", id + ":2", 100);
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.Feed;
@@ -210,7 +211,7 @@
                 200,
                 false,
                 true,
-                new TargetStatement(Optional.empty(), true, OptionalLong.empty())));
+                new TargetStatement(Optional.empty(), true, OptionalLong.empty(), OptionalDouble.empty())));
 
         assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
                 .extracting(FleetEffect.SendPeerMessage::address)
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -17,7 +18,8 @@
 
 /** Statements of targets in their answers: that they are leaving, or that they accept no requests for a while. */
 class TargetStatementTest {
-    private static final TargetStatement LEAVING = new TargetStatement(Optional.empty(), true, OptionalLong.empty());
+    private static final TargetStatement LEAVING =
+            new TargetStatement(Optional.empty(), true, OptionalLong.empty(), OptionalDouble.empty());
     private final FleetFixture fixture =
             FleetFixture.serving(FleetFixture.engine("e1", "m1"), FleetFixture.engine("e22", "m1"));
 
@@ -36,7 +38,7 @@
     }
 
     private static TargetStatement paused(long millis) {
-        return new TargetStatement(Optional.empty(), false, OptionalLong.of(millis));
+        return new TargetStatement(Optional.empty(), false, OptionalLong.of(millis), OptionalDouble.empty());
     }
 
     /** Lets an engine state with an answer that it is leaving, and returns its id. */
