All entries together keep the limit that a target states

A back end that asked for 1.1 requests a second got 15 in 4 s from hosts that it had told (12 allowed).

Cause: Server-Limit was not read; what else a target says (Retry-After, load) is kept by each host for itself, which is no limit on all of them together.

Change: a limit is told to the whole fleet on the way of target_says_leaving (message TargetLimited; older builds skip it). The first hosts in rendezvous order for the target send, each an equal part of the limit and one request at once: three hosts and two more per request a second, so that the single requests stay within the tolerance of five and parts stay large enough to be used. A fleet that hears only part of itself uses that part of the limit. Repeats, resumed and rejected attempts count like first ones. Others avoid the target; where every target of a service is limited a request waits if it can be in time, else it is refused at once, with a time to come back that differs per request. A limited engine gets no orders and does not count as a replica, so that the planner loads its models elsewhere. An answer without the header to a request sent after it was last stated ends the limit; a quarter of a request a second goes on whatever the target says, as nobody else would learn of its end.

Evidence: TargetLimitFlowTest failed before (160 requests in 4 s from 8 entries at a limit of 1.1) and passes for 3, 8, 16 and, through hubs, 20 entries with limits from 0.001 to 6.

Ruled out: a limit divided by the number of hosts (with 95 hosts each would send less than one request in 4 s, and one request at once from each is 95); one host that counts and is asked (a round trip for each request of the target, and two that count at a hand-over).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -125,7 +125,8 @@
             List<FleetEffect> effects) {
         FleetTarget target = state.targets().get(wish.target());
         EngineState engineState = Engines.stateOf(state, target);
-        boolean available = engineState.isIdle() && !target.isPaused(nowMillis) && !claimed.contains(wish.target());
+        boolean available =
+                engineState.isIdle() && !target.declinesOrders(nowMillis) && !claimed.contains(wish.target());
         if (!available) {
             claimed.add(wish.target());
             return findAlternativeEngine(state, engine, wish, claimed, nowMillis)
@@ -164,7 +165,7 @@
             FleetState state, EngineDefinition engine, AdapterWish wish, Set<String> claimed, long nowMillis) {
         String model = wish.key().model();
         return Engines.all(state, wish.service()).stream()
-                .filter(target -> target.holds(model, Optional.empty()) && !target.isPaused(nowMillis))
+                .filter(target -> target.holds(model, Optional.empty()) && !target.declinesOrders(nowMillis))
                 .filter(target -> !claimed.contains(target.description().id()))
                 .filter(target -> Engines.stateOf(state, target).isIdle())
                 .filter(target -> AdapterRoom.fits(state, engine, target, model, nowMillis))
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -19,6 +19,7 @@
     private static final long PLACEMENT_REQUEST_INTERVAL_MILLIS = 400;
 
     private static final long MIN_REMAINING_MILLIS = 150; // less is too short for the prefill of a prompt
+    private static final long LIMITED_RETRY_MILLIS = 500; // with a random part of the same length
     private static final int LOWEST_PRIORITY = 9; // the lowest priority that engines support
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
@@ -69,9 +70,11 @@
         List<FleetTarget> available = state.targets().values().stream()
                 .filter(target -> target.description().service().equals(request.service()))
                 .filter(target -> !target.isLeaving())
+                .map(target -> TargetLimitGate.accrue(state, target, nowMillis))
+                .toList();
+        List<FleetTarget> usable = available.stream()
+                .filter(target -> !target.isPaused(nowMillis) && TargetLimitGate.admits(target))
                 .toList();
-        List<FleetTarget> usable =
-                available.stream().filter(target -> !target.isPaused(nowMillis)).toList();
         List<FleetTarget> capable = engine
                 ? usable.stream()
                         .filter(target -> target.holds(
@@ -102,6 +105,13 @@
         if (pauseEnds.isPresent()) {
             return waitForPausedTargets(state, request, pauseEnds.getAsLong(), nowMillis, effects);
         }
+        List<FleetTarget> limited = available.stream()
+                .filter(target -> !TargetLimitGate.admits(target))
+                .filter(target -> !engine || target.holds(request.call().model().get(), Optional.empty()))
+                .toList();
+        if (!limited.isEmpty() && (usable.isEmpty() || !engine)) {
+            return waitForLimitedTargets(state, request, limited, nowMillis, effects);
+        }
         if (!engine || usable.isEmpty()) {
             Refusal refusal = refusal(request, RefusalCode.NO_CAPACITY, RETRY_MILLIS);
             return refuse(state, request, refusal, "service has no target", effects);
@@ -130,6 +140,29 @@
         };
     }
 
+    /** Makes a request wait until it may be sent within a target's limit, or refuses it if that is too late. */
+    private FleetState waitForLimitedTargets(
+            FleetState state,
+            FleetRequest request,
+            List<FleetTarget> limited,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        long inTime = request.arrivedAtMillis() + request.route().objectiveMillis();
+        OptionalLong admittedAt = limited.stream()
+                .flatMapToLong(target -> TargetLimitGate.admittedAtMillis(state, target, nowMillis).stream())
+                .min();
+        if (admittedAt.isPresent() && admittedAt.getAsLong() <= inTime) {
+            return waitForPausedTargets(state, request, admittedAt.getAsLong(), nowMillis, effects);
+        }
+        // Callers that are refused at the same time come back at different times.
+        long retryMillis = LIMITED_RETRY_MILLIS
+                + Math.floorMod(request.call().callerRequestId().hashCode(), LIMITED_RETRY_MILLIS);
+        FleetState returned = request.hasNotRun() ? quota.refund(state, request, nowMillis, effects) : state;
+        String reason = "every target limits the requests of all entries, the first to "
+                + limited.getFirst().limit().orElseThrow().requestsPerSecond() + " per second";
+        return refuse(returned, request, refusal(request, RefusalCode.QUEUE_FULL, retryMillis), reason, effects);
+    }
+
     /** Makes a request wait for paused targets if it can still meet its objective, and refuses it otherwise. */
     private FleetState waitForPausedTargets(
             FleetState state, FleetRequest request, long endsAtMillis, long nowMillis, List<FleetEffect> effects) {
@@ -240,7 +273,8 @@
         String id = target.description().id();
         OutstandingAttempt outstandingAttempt = new OutstandingAttempt(
                 nowMillis, choice.prefillTokens(), choice.queuedAheadTokens(), choice.estimateMillis(), late, false);
-        FleetTarget updated = target.withAttempt(attempt, outstandingAttempt)
+        FleetTarget updated = target.withLimit(target.limit().map(RequestLimit::spent))
+                .withAttempt(attempt, outstandingAttempt)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixHashes(request), nowMillis));
         effects.add(new FleetEffect.StartAttempt(
                 attempt,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -132,6 +132,7 @@
             case FleetMessage.QuotaReturn returned -> quota.onReturn(state, returned);
             case FleetMessage.PlacementWish request -> adapters.onWish(state, nowMillis, request, effects);
             case FleetMessage.TargetLeaving notice -> leaving.onMessage(state, notice, effects);
+            case FleetMessage.TargetLimited notice -> limits.onMessage(state, notice, nowMillis, effects);
             case FleetMessage.Residency residency ->
                 dispatch.tick(peers.onResidency(state, residency, nowMillis), nowMillis, effects);
         };
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -139,6 +139,11 @@
         return nowMillis < health.pausedUntilMillis();
     }
 
+    /** Returns whether the target must receive no orders: it is paused, or limits its requests because of its load. */
+    boolean declinesOrders(long nowMillis) {
+        return isPaused(nowMillis) || limit.isPresent();
+    }
+
     FleetTarget withAttempt(AttemptId attempt, OutstandingAttempt outstandingAttempt) {
         return withOutstanding(outstanding.plus(attempt, outstandingAttempt));
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -101,12 +101,12 @@
         return next;
     }
 
-    /** Returns the messages that inform a new peer of the models on each engine, if this entry is the leader. */
+    /** Returns the messages that inform a new peer of limits and models, if this entry is the leader. */
     static List<FleetEffect> residencies(FleetState state, String address, long nowMillis) {
         if (!LeadershipFlow.isLeader(state, nowMillis)) {
             return List.of();
         }
-        List<FleetEffect> messages = new ArrayList<>();
+        List<FleetEffect> messages = new ArrayList<>(TargetLimitFlow.notices(state, address));
         for (FleetTarget target : state.targets().values()) {
             messages.add(new FleetEffect.SendPeerMessage(address, residency(state, target)));
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuotaFlow.java
@@ -61,13 +61,7 @@
     /** Acquires units from the local bucket, or returns the entry that owns the quota. */
     Decision acquire(FleetState state, Workspace workspace, double units, int round, long nowMillis) {
         List<FleetPeer> ranking = ranking(state, workspace.name(), nowMillis);
-        int ownRank = ranking.size();
-        for (int rank = 0; rank < ranking.size(); rank++) {
-            if (ranking.get(rank).member().equals(state.self())) {
-                ownRank = rank;
-            }
-        }
-        if (round >= ownRank) {
+        if (round >= ownRank(state, workspace.name(), nowMillis)) {
             return acquireLocally(state, workspace, units, nowMillis);
         }
         return new Decision(state, new Verdict.OwnedByPeer(ranking.get(round)));
@@ -112,7 +106,7 @@
     }
 
     private static Decision acquireLocally(FleetState state, Workspace workspace, double units, long nowMillis) {
-        double share = (double) reachable(state, nowMillis).size() / state.memberCount();
+        double share = reachableShare(state, nowMillis);
         QuotaBucket bucket = Optional.ofNullable(state.buckets().get(workspace.name()))
                 .orElseGet(() -> QuotaBucket.initial(
                         workspace, state.quotaOwnership().sinceMillis().getOrDefault(workspace.name(), nowMillis)))
@@ -124,6 +118,22 @@
         return new Decision(state.with(workspace.name(), bucket), new Verdict.Denied(wait));
     }
 
+    /** Returns the share of the announced members that are reachable. */
+    static double reachableShare(FleetState state, long nowMillis) {
+        return (double) reachable(state, nowMillis).size() / state.memberCount();
+    }
+
+    /** Returns this entry's rank among the reachable members that are not leaving, in the order of a key. */
+    static int ownRank(FleetState state, String key, long nowMillis) {
+        List<FleetPeer> ranking = ranking(state, key, nowMillis);
+        for (int rank = 0; rank < ranking.size(); rank++) {
+            if (ranking.get(rank).member().equals(state.self())) {
+                return rank;
+            }
+        }
+        return ranking.size();
+    }
+
     /** Returns whether this entry is the first of the reachable members that are not leaving, in the order of a key. */
     static boolean isFirst(FleetState state, String key, long nowMillis) {
         return ranking(state, key, nowMillis).getFirst().member().equals(state.self());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -138,7 +138,7 @@
         }
         return new ReplicaPlanner.Engine(
                 id,
-                Set.copyOf(kept),
+                target.limit().isPresent() ? Set.of() : Set.copyOf(kept),
                 reservedModels(state, target, nowMillis),
                 readyInSeconds(definition, target, engineState, longRunMillis, nowMillis),
                 incomingModel,
@@ -159,7 +159,7 @@
             EngineState engineState,
             double longRunMillis,
             long nowMillis) {
-        if (target.isPaused(nowMillis) || engineState.orderCount().isEmpty()) {
+        if (target.declinesOrders(nowMillis) || engineState.orderCount().isEmpty()) {
             return Double.POSITIVE_INFINITY;
         }
         if (engineState.isIdle()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -195,6 +196,15 @@
      */
     record TargetLeaving(String sender, String target, long startedAtMillis) implements FleetMessage {}
 
+    /**
+     * Reports that a target has stated in a response how many requests it accepts from all entries together.
+     *
+     * @param startedAtMillis Unix time of the target's start; the message does not apply to a later start
+     * @param requestsPerSecond the limit; empty if the target states none any more
+     */
+    record TargetLimited(String sender, String target, long startedAtMillis, OptionalDouble requestsPerSecond)
+            implements FleetMessage {}
+
     /** Returns the value, or empty if an older build has sent the message without it. */
     private static <T> Optional<T> presentOrEmpty(Optional<T> value) {
         return value == null ? Optional.empty() : value;
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
 import org.jackdawbeam.model.fleet.TargetStatement;
 
 /** Entries with requests of their own before targets of one service, one of which limits its requests. */
@@ -33,12 +34,23 @@
     LimitedFleet(int hostCount, int targetCount) {
         for (int host = 0; host < hostCount; host++) {
             FleetFixture fixture = new FleetFixture(FleetFixture.member("host-" + (char) ('a' + host)));
+            fixture.nowMillis = nowMillis;
             hosts.put(fixture.state.self().id(), fixture);
             fixture.configure(FleetFixture.generousConfiguration(1));
             for (int target = 0; target < targetCount; target++) {
                 fixture.listTargets(FleetFixture.service(LIMITED + "x".repeat(target)));
             }
         }
+        introduce();
+    }
+
+    private void introduce() {
+        for (FleetFixture fixture : hosts.values()) {
+            FeedEntry[] members = hosts.values().stream()
+                    .map(other -> new FeedEntry.Member(other.state.self()))
+                    .toArray(FeedEntry[]::new);
+            fixture.read(Feed.MEMBERS, nowMillis, members);
+        }
     }
 
     private void after(long millis, Runnable action) {
