--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Stream;
 import net.jqwik.api.ForAll;
@@ -87,6 +88,16 @@
         assertThat(mapper.read(mapper.write(heartbeat), FleetMessage.class)).isEqualTo(heartbeat);
     }
 
+    @Test
+    void limitsOfTargetsRoundTrip() {
+        MessageMapper mapper = MessageMapper.messagePack();
+        for (OptionalDouble limit : List.of(OptionalDouble.of(1.1), OptionalDouble.empty())) {
+            FleetMessage message = new FleetMessage.TargetLimited("a", "e1", 7, limit);
+
+            assertThat(mapper.read(mapper.write(message), FleetMessage.class)).isEqualTo(message);
+        }
+    }
+
     // Guards against builds that cannot read each other's heartbeats during an upgrade.
     @Test
     void heartbeatOfAnOlderBuildHasNoEvidence() {
