A stopping entry does not start what it may not be able to finish

Yes, for requests that may not be repeated whose deadline, or usual duration at engines, lies behind the end of the process: for three seconds (or half of the grace) after SIGTERM they were taken whatever their deadline.

Such a request is now refused as not run, with a time to come back, while the entry leaves, also one that waited for a model when the stop began. Repeatable ones are served as before. StopFlowTest: two tests that failed before (both were sent to a target).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -1,11 +1,8 @@
 package org.jackdawbeam.logic.fleet;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.jackdawbeam.model.refusal.Refusal;
@@ -47,6 +44,15 @@
 
     /** Sends the request to the best target, makes it wait for a replica or a paused target, or refuses it. */
     FleetState dispatch(FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
+        if (request.hasNotRun() && StopFlow.endsBefore(state, request, nowMillis)) {
+            return refuseUnserved(
+                    state,
+                    request,
+                    RefusalCode.NOT_READY,
+                    "may not be answered before the process ends",
+                    nowMillis,
+                    effects);
+        }
         Optional<String> obstacle = findObstacle(state, request, nowMillis);
         if (obstacle.isPresent()) {
             RefusalCode code =
@@ -315,8 +321,9 @@
             return state;
         }
         String model = request.call().model().orElseThrow();
-        Optional<String> engine =
-                request.call().adapter().flatMap(adapter -> preferredEngine(state, request, usable, nowMillis));
+        Optional<String> engine = request.call()
+                .adapter()
+                .flatMap(adapter -> TargetChooser.engineForAdapter(state, request, usable, nowMillis));
         FleetMessage.PlacementWish placementWish = new FleetMessage.PlacementWish(
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
         FleetState next =
@@ -340,31 +347,6 @@
                 "request_waiting", request, "reason", reason, "left_ms", request.expiresAtMillis() - nowMillis));
     }
 
-    /** Returns the engine on which to load the adapter: the same one for every request while loads are similar. */
-    private static Optional<String> preferredEngine(
-            FleetState state, FleetRequest request, List<FleetTarget> usable, long nowMillis) {
-        String model = request.call().model().orElseThrow();
-        String adapter = request.call().adapter().orElseThrow();
-        int slots = state.configuration()
-                .flatMap(known -> known.engine(request.service()))
-                .map(EngineDefinition::adapterPlaces)
-                .orElse(0);
-        return usable.stream()
-                .filter(target -> target.holds(model, Optional.empty()))
-                .min(Comparator.comparingLong(target -> {
-                    int held = target.adapters().values().stream()
-                            .mapToInt(Set::size)
-                            .sum();
-                    long fullPenalty = held < slots ? 0 : 20;
-                    long preference = Math.floorMod((target.description().id() + adapter).hashCode(), 16);
-                    return TargetChooser.estimate(state, request, target, true, nowMillis)
-                                    .estimateMillis()
-                            + fullPenalty
-                            + preference;
-                }))
-                .map(target -> target.description().id());
-    }
-
     private FleetState expire(FleetState state, FleetRequest request, List<FleetEffect> effects) {
         String caller = request.call().callerRequestId();
         if (!(request.phase() instanceof RequestPhase.Running running)) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
@@ -22,6 +22,23 @@
         this.dispatch = dispatch;
     }
 
+    /**
+     * Returns whether a request that must not be repeated would probably still be running when the process ends;
+     * another entry can run it to its end. Deadlines at engines are far beyond the usual duration of an answer.
+     */
+    static boolean endsBefore(FleetState state, FleetRequest request, long nowMillis) {
+        if (!(state.stop() instanceof StopStage.Leaving leaving)
+                || request.route().repeatable()) {
+            return false;
+        }
+        long endsAt = leaving.sinceMillis() + state.bounds().graceMillis() - END_MARGIN_MILLIS;
+        long latest = request.expiresAtMillis();
+        boolean engine = request.call().model().isPresent();
+        long usual = nowMillis
+                + Math.round(state.prefillStatistics(request.service()).longRunMillis());
+        return endsAt < (engine ? Math.min(latest, usual) : latest);
+    }
+
     FleetState onRequest(FleetState state, long nowMillis, List<FleetEffect> effects) {
         if (!(state.stop() instanceof StopStage.Serving)) {
             return state;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
 import org.jackdawbeam.model.fleet.PromptPart;
 import org.jackdawbeam.model.fleet.TargetLoad;
@@ -108,6 +110,30 @@
         return DECODING_STEP_MILLIS + running * BATCH_MILLIS_PER_REQUEST;
     }
 
+    /** Returns the engine on which to load the adapter: the same one for every request while loads are similar. */
+    static Optional<String> engineForAdapter(
+            FleetState state, FleetRequest request, List<FleetTarget> usable, long nowMillis) {
+        String model = request.call().model().orElseThrow();
+        String adapter = request.call().adapter().orElseThrow();
+        int slots = state.configuration()
+                .flatMap(known -> known.engine(request.service()))
+                .map(EngineDefinition::adapterPlaces)
+                .orElse(0);
+        return usable.stream()
+                .filter(target -> target.holds(model, Optional.empty()))
+                .min(Comparator.comparingLong(target -> {
+                    int held = target.adapters().values().stream()
+                            .mapToInt(Set::size)
+                            .sum();
+                    long fullPenalty = held < slots ? 0 : 20;
+                    long preference = Math.floorMod((target.description().id() + adapter).hashCode(), 16);
+                    return estimate(state, request, target, true, nowMillis).estimateMillis()
+                            + fullPenalty
+                            + preference;
+                }))
+                .map(target -> target.description().id());
+    }
+
     /** Returns a hash for each prefix of a prompt, used as its key in the prefix index. */
     static List<Long> prefixHashes(FleetRequest request) {
         List<Long> hashes = new ArrayList<>();
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.refusal.ExecutionStatus;
+import org.jackdawbeam.model.refusal.Refusal;
 import org.jackdawbeam.model.refusal.RefusalCode;
 import org.jackdawbeam.model.request.AttemptId;
 import org.junit.jupiter.api.Test;
@@ -50,6 +51,37 @@
         assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
     }
 
+    // Guards against a request that may not be repeated and that the end of the process cuts off.
+    @Test
+    void requestThatMayOutlastTheProcessIsRefusedAsNotRun() {
+        stop();
+        fixture.advanceWithStoreReads(500);
+
+        fixture.call("endless");
+
+        Refusal refusal = fixture.only(FleetEffect.RefuseRequest.class).refusal();
+        assertThat(refusal.ran()).isEqualTo(ExecutionStatus.NO);
+        assertThat(refusal.retryAfterMillis()).isPresent();
+        assertThat(fixture.all(FleetEffect.StartAttempt.class)).isEmpty();
+    }
+
+    // Guards against a request that waited while the process began to stop, and is sent too late to be answered.
+    @Test
+    void waitingRequestIsNotSentTooLateToBeAnswered() {
+        FleetFixture engines = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
+        engines.apply(new FleetEvent.BoundsChanged(engines.nowMillis, FleetFixture.boundsWithGrace(2_000)));
+        engines.state = engines.state.with("engines", new PrefillStatistics(20, 0, 2_000, 30_000, 1));
+        engines.chat("slow", "m2");
+        engines.apply(new FleetEvent.StopRequested(engines.nowMillis));
+
+        engines.advance(50);
+        FleetEffect.RefuseRequest refused = engines.only(FleetEffect.RefuseRequest.class);
+        engines.listTargets(FleetFixture.engine("e1", "m1", "m2"));
+
+        assertThat(refused.refusal().ran()).isEqualTo(ExecutionStatus.NO);
+        assertThat(engines.all(FleetEffect.StartAttempt.class)).isEmpty();
+    }
+
     @Test
     void stopCompletesUnderContinuousRequests() {
         stop();
