--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -115,7 +115,11 @@
         return target != null && !target.isLeaving() && target.holds(wish.key().model(), Optional.empty());
     }
 
-    /** @param claimed engines whose next free slot belongs to an adapter that has waited longer */
+    /**
+     * Loads an adapter, or makes room for it.
+     *
+     * @param claimed engines whose next free slot belongs to an adapter that has waited longer; extended by this one's
+     */
     private static FleetState loadAdapter(
             FleetState state,
             EngineDefinition engine,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -16,7 +16,7 @@
     private static final long PLACEMENT_REQUEST_INTERVAL_MILLIS = 400;
 
     private static final long MIN_REMAINING_MILLIS = 150; // less is too short for the prefill of a prompt
-    private static final long LIMITED_RETRY_MILLIS = 500; // with a random part of the same length
+    private static final long LIMITED_RETRY_MILLIS = 500; // plus up to as much again, by request
     private static final int LOWEST_PRIORITY = 9; // the lowest priority that engines support
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
