How long a model has been waited for is known and logged

The logs did not tell how long callers have asked for a model when the planner decides, nor in whose favour another model gives way. Entries now keep, per model, since when it is asked for while no engine holds it (30 s beyond the latest request, so that callers may pause or come back elsewhere), and tell it with their heartbeats; the longest wait of all entries counts. A wait of zero, nearly always, is left out of the message; older builds skip the field and send none. The holder of the placement duty logs replica_planned; two metrics tell the waits of each entry.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DemandTrend.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DemandTrend.java
@@ -65,12 +65,16 @@
         averageTokensPerSecond.forEach((key, tokens) -> {
             if (key.service().equals(service)) {
                 ModelDemand current =
-                        currentDemand.getOrDefault(key, new ModelDemand(key.service(), key.model(), 0, 0, 0));
+                        currentDemand.getOrDefault(key, new ModelDemand(key.service(), key.model(), 0, 0, 0, 0));
                 double longTerm = Math.max(current.tokensPerSecond(), tokens / windowShare);
                 estimates.put(
                         key.model(),
                         new DemandEstimate(
-                                current.tokensPerSecond(), longTerm, current.waiting(), current.objectiveMillis()));
+                                current.tokensPerSecond(),
+                                longTerm,
+                                current.waiting(),
+                                current.objectiveMillis(),
+                                current.waitedMillis()));
             }
         });
         return Map.copyOf(estimates);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -326,10 +326,12 @@
                 .flatMap(adapter -> TargetChooser.engineForAdapter(state, request, usable, nowMillis));
         FleetMessage.PlacementWish placementWish = new FleetMessage.PlacementWish(
                 state.self().id(), request.service(), model, request.call().adapter(), engine);
-        FleetState next =
-                state.with(request.withPhase(new RequestPhase.AwaitingReplica(before.sinceMillis(), nowMillis)));
+        boolean held = usable.stream().anyMatch(target -> target.holds(model, Optional.empty()));
+        ModelWaits waits = state.modelWaits();
+        FleetState next = state.with(
+                        request.withPhase(new RequestPhase.AwaitingReplica(before.sinceMillis(), nowMillis)))
+                .with(held ? waits : waits.withAsked(new DemandKey(request.service(), model), nowMillis));
         if (!alreadyWaiting) {
-            boolean held = usable.stream().anyMatch(target -> target.holds(model, Optional.empty()));
             String reason = held ? "no engine holds the adapter" : "no engine holds the model";
             noteWait(request, reason, nowMillis, effects);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -23,6 +23,7 @@
     private final HubFlow hubs = new HubFlow(feeds, leadership);
     private final TargetLeavingFlow leaving = new TargetLeavingFlow();
     private final TargetLimitFlow limits = new TargetLimitFlow();
+    private final ModelWaitFlow modelWaits = new ModelWaitFlow();
     private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow());
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
     private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving, limits, quarantine);
@@ -85,6 +86,7 @@
     private FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = feeds.tick(state, nowMillis, effects);
         next = leadership.tick(next, nowMillis, effects);
+        next = modelWaits.tick(next, nowMillis);
         next = peers.tick(next, nowMillis, effects);
         next = hubs.tick(next, nowMillis, effects);
         next = quota.tick(next, nowMillis);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -24,6 +24,7 @@
  * @param retries retry budget by service
  * @param demand demand of the callers of this entry, by {@link DemandKey}
  * @param objectives mean objective of the requests for a model in milliseconds, by {@link DemandKey}
+ * @param modelWaits models that callers of this entry ask for and no engine holds
  * @param prefillStatistics prefill speed of engines, by service
  * @param typicalPrefillTokens mean number of prompt tokens that an engine had to process for a request, by route
  * @param sent the load information last sent to the peers
@@ -48,6 +49,7 @@
         PlacementState placement,
         Demand demand,
         PMap<String, Double> objectives,
+        ModelWaits modelWaits,
         PMap<String, PrefillStatistics> prefillStatistics,
         PMap<String, Double> typicalPrefillTokens,
         Announcement announcement,
@@ -83,6 +85,7 @@
                 PlacementState.empty(),
                 Demand.none(DEMAND_WINDOW_MILLIS),
                 HashTreePMap.empty(),
+                ModelWaits.none(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 Announcement.PENDING,
@@ -193,6 +196,12 @@
         return builder.build();
     }
 
+    FleetState with(ModelWaits changed) {
+        Builder builder = new Builder(this);
+        builder.modelWaits = changed;
+        return builder.build();
+    }
+
     FleetState with(String service, PrefillStatistics statistics) {
         Builder builder = new Builder(this);
         builder.prefillStatistics = prefillStatistics.plus(service, statistics);
@@ -278,6 +287,7 @@
         private PlacementState placement;
         private Demand demand;
         private PMap<String, Double> objectives;
+        private ModelWaits modelWaits;
         private PMap<String, PrefillStatistics> prefillStatistics;
         private PMap<String, Double> typicalPrefillTokens;
         private Announcement announcement;
@@ -304,6 +314,7 @@
             placement = source.placement;
             demand = source.demand;
             objectives = source.objectives;
+            modelWaits = source.modelWaits;
             prefillStatistics = source.prefillStatistics;
             typicalPrefillTokens = source.typicalPrefillTokens;
             announcement = source.announcement;
@@ -332,6 +343,7 @@
                     placement,
                     demand,
                     objectives,
+                    modelWaits,
                     prefillStatistics,
                     typicalPrefillTokens,
                     announcement,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -229,7 +229,8 @@
                     parsed.model(),
                     tokens,
                     waiting.getOrDefault(parsed, 0),
-                    state.objectives().getOrDefault(key, 0.0)));
+                    state.objectives().getOrDefault(key, 0.0),
+                    state.modelWaits().millis(parsed, nowMillis)));
         });
         return List.copyOf(demands);
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -55,11 +55,37 @@
             if (move.isEmpty()) {
                 return next;
             }
+            effects.add(note(service, move.get(), estimates));
             next = apply(next, move.get(), nowMillis, effects);
         }
         return next;
     }
 
+    private static FleetEffect.Note note(
+            String service, ReplicaPlanner.Move move, Map<String, DemandEstimate> estimates) {
+        String model = switch (move) {
+            case ReplicaPlanner.Move.Load load -> load.model();
+            case ReplicaPlanner.Move.Unload unload -> unload.inFavourOf();
+        };
+        DemandEstimate demand = estimates.getOrDefault(model, DemandEstimate.NONE);
+        return FleetEffect.Note.of(
+                "replica_planned",
+                "service",
+                service,
+                "target",
+                move.engine(),
+                "model",
+                model,
+                "unloads",
+                move instanceof ReplicaPlanner.Move.Unload unload ? unload.model() : "",
+                "tokens_per_second",
+                Math.round(demand.tokensPerSecond()),
+                "waiting",
+                demand.waiting(),
+                "waited_ms",
+                demand.waitedMillis());
+    }
+
     private static FleetState dropExpiredReservations(FleetState state, long nowMillis) {
         PlacementState placement = state.placement();
         for (Map.Entry<String, PlacementState.Reservation> entry :
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -151,16 +151,29 @@
      *
      * @param tokensPerSecond requested prompt tokens per second
      * @param waiting number of requests that wait for a replica
+     * @param waitedMillis how long the model has been asked for while no engine held it; 0 if one does
      */
-    record ModelDemand(String service, String model, double tokensPerSecond, int waiting, double objectiveMillis) {
-
-        /** Returns the sum of both demands for the same model, with the objective averaged by token rate. */
+    record ModelDemand(
+            String service,
+            String model,
+            double tokensPerSecond,
+            int waiting,
+            double objectiveMillis,
+            long waitedMillis) {
+
+        /** Returns the sum of both demands for the same model, with its longest wait and its mean objective. */
         public ModelDemand plus(ModelDemand other) {
             double tokens = tokensPerSecond + other.tokensPerSecond;
             double objective = tokens == 0
                     ? objectiveMillis
                     : (objectiveMillis * tokensPerSecond + other.objectiveMillis * other.tokensPerSecond) / tokens;
-            return new ModelDemand(service, model, tokens, waiting + other.waiting, objective);
+            return new ModelDemand(
+                    service,
+                    model,
+                    tokens,
+                    waiting + other.waiting,
+                    objective,
+                    Math.max(waitedMillis, other.waitedMillis));
         }
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/codec/MessageMapper.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.net.codec;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -27,6 +28,7 @@
         this.mapper = new ObjectMapper(factory);
         mapper.registerModule(new Jdk8Module());
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+        mapper.addMixIn(FleetMessage.ModelDemand.class, WithoutZeroWait.class);
         registerHierarchy(LogRecord.class);
         registerHierarchy(PeerMessage.class);
         registerHierarchy(FleetMessage.class);
@@ -84,4 +86,10 @@
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
     private interface SimpleClassNameTypeInfo {}
+
+    /** Leaves out the wait of models that nobody waits for, the great majority in each heartbeat. */
+    private interface WithoutZeroWait {
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+        long waitedMillis();
+    }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -40,6 +40,8 @@
     private final Gauge quarantinedParts;
     private final Gauge limitedTargets;
     private final Gauge suspectedLosses;
+    private final Gauge waitingModels;
+    private final Gauge longestModelWait;
     private final Gauge droppedLogLines;
     private final Map<AttemptId, Long> startedAt = new HashMap<>();
 
@@ -67,6 +69,10 @@
         this.limitedTargets = gauge("jackdawbeam_limited_targets", "Targets that limit the requests of all entries.");
         this.suspectedLosses = gauge(
                 "jackdawbeam_suspected_losses", "Recent losses of engines under requests that waited for answers.");
+        this.waitingModels =
+                gauge("jackdawbeam_waiting_models", "Models that callers of this entry ask for and no engine holds.");
+        this.longestModelWait = gauge(
+                "jackdawbeam_longest_model_wait_seconds", "Time since the first of them was asked for, 0 if none is.");
         this.droppedLogLines = gauge("jackdawbeam_log_lines_left_out", "Log lines that were not written.");
     }
 
@@ -110,6 +116,8 @@
                         .filter(target -> target.limit().isPresent())
                         .count());
                 suspectedLosses.set(state.quarantine().losses().size());
+                waitingModels.set(state.modelWaits().byModel().size());
+                longestModelWait.set(state.modelWaits().longestMillis(ticked.nowMillis()) / MILLIS_PER_SECOND);
             }
             default -> {
                 // Other events are counted through their effects.
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/DemandTrendTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/DemandTrendTest.java
@@ -11,7 +11,7 @@
     private static final DemandKey RARE = new DemandKey("engines", "rare");
 
     private static Map<DemandKey, ModelDemand> currentDemand(double tokensPerSecond) {
-        return Map.of(RARE, new ModelDemand("engines", "rare", tokensPerSecond, 0, 600));
+        return Map.of(RARE, new ModelDemand("engines", "rare", tokensPerSecond, 0, 600, 0));
     }
 
     private static DemandTrend steadyDemand() {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
@@ -33,7 +33,7 @@
     }
 
     private static DemandEstimate demand(double tokensPerSecond) {
-        return new DemandEstimate(tokensPerSecond, tokensPerSecond, 0, 600);
+        return new DemandEstimate(tokensPerSecond, tokensPerSecond, 0, 600, 0);
     }
 
     private static Optional<Move> plan(
@@ -75,8 +75,8 @@
     void modelThatRequestsWaitForIsLoadedFirst() {
         List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m0"));
 
-        Optional<Move> move =
-                plan(definition(2), engines, Map.of("m0", demand(HOT), "m1", new DemandEstimate(RARE, RARE, 3, 600)));
+        Optional<Move> move = plan(
+                definition(2), engines, Map.of("m0", demand(HOT), "m1", new DemandEstimate(RARE, RARE, 3, 600, 0)));
 
         assertThat(move)
                 .hasValueSatisfying(
@@ -221,8 +221,8 @@
     void modelThatRequestsWaitForIsLoadedBesideOneThatDemandMayShiftTo() {
         List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m0"));
 
-        List<Engine> settled =
-                settle(definition(3), engines, Map.of("m0", demand(HOT), "m1", new DemandEstimate(RARE, RARE, 3, 600)));
+        List<Engine> settled = settle(
+                definition(3), engines, Map.of("m0", demand(HOT), "m1", new DemandEstimate(RARE, RARE, 3, 600, 0)));
 
         assertThat(replicas(settled, "m1")).isEqualTo(1);
         assertThat(replicas(settled, "m2")).isEqualTo(1);
@@ -237,7 +237,7 @@
         }
         EngineDefinition definition = new EngineDefinition(64, 150_000, 200_000, 5, 2.1, models);
         Map<String, DemandEstimate> demandByModel = new HashMap<>();
-        demandByModel.put("large", new DemandEstimate(RARE, RARE, 1, 600));
+        demandByModel.put("large", new DemandEstimate(RARE, RARE, 1, 600, 0));
         List.of("s1", "s2", "s3").forEach(small -> demandByModel.put(small, demand(4 * RARE)));
 
         assertThat(plan(definition, List.of(engine(0, "s1", "s2", "s3")), demandByModel))
@@ -255,7 +255,7 @@
                 "m2",
                 demand(RARE / 10),
                 "m4",
-                new DemandEstimate(RARE, RARE, 5, 600));
+                new DemandEstimate(RARE, RARE, 5, 600, 0));
 
         Optional<Move> move = plan(definition(5), engines, demandByModel);
 
@@ -269,7 +269,8 @@
                 64, 150_000, 200_000, 5, 1, Map.of("m0", new ModelDefinition("m0", 72_700, 8_000, 1_000, 600, 66)));
         Engine busy = new Engine("e1", Set.of(), Set.of(), 0.5, Optional.of("m9"), Set.of("m0"));
 
-        Optional<Move> move = plan(slow, List.of(engine(0), busy), Map.of("m0", new DemandEstimate(HOT, HOT, 3, 600)));
+        Optional<Move> move =
+                plan(slow, List.of(engine(0), busy), Map.of("m0", new DemandEstimate(HOT, HOT, 3, 600, 0)));
 
         assertThat(move).isEmpty();
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
@@ -140,4 +140,24 @@
                 .isThrownBy(() -> MessageMapper.json().read("{\"type\":\"Nobody\"}".getBytes(), LogRecord.class))
                 .matches(failure -> failure.code() == ErrorCode.MESSAGE_MALFORMED);
     }
+
+    // Guards against the heartbeats of a build that does not tell how long a model has been waited for.
+    @Test
+    void demandWithoutAWaitIsReadAsNoWait() {
+        MessageMapper mapper = MessageMapper.messagePack();
+        FleetMessage.ModelDemand demand = new FleetMessage.ModelDemand("engines", "m1", 1.5, 2, 600, 0);
+        byte[] bytes = mapper.write(demand);
+
+        assertThat(mapper.read(bytes, Map.class)).doesNotContainKey("waitedMillis");
+        assertThat(mapper.read(bytes, FleetMessage.ModelDemand.class)).isEqualTo(demand);
+    }
+
+    @Test
+    void demandTellsHowLongAModelHasBeenWaitedFor() {
+        MessageMapper mapper = MessageMapper.messagePack();
+        FleetMessage.ModelDemand demand = new FleetMessage.ModelDemand("engines", "m1", 1.5, 2, 600, 700);
+
+        assertThat(mapper.read(mapper.write(demand), FleetMessage.ModelDemand.class))
+                .isEqualTo(demand);
+    }
 }
