A model that has waited too long is loaded before further replicas

Cause: the planner compares requests saved in ten seconds, so that a thirteenth replica of a busy model outbids the first one of a rare model; nothing bounded a wait. The longest wait in the fleet decides once it is over a second; the cheapest engine gives way; the only replica of a model stays three loads; a third of the loads at once. The engines of ReplicaPlannerTest state when they last changed, nothing in its checks is looser.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -41,12 +41,13 @@
             long loading = engines.stream()
                     .filter(ReplicaPlanner.Engine::loadsFromStore)
                     .count();
-            boolean mayLoadFromStore =
-                    current.placement().availableLoads() >= 1 && loading < concurrentStoreLoads(engine);
+            long concurrentLoads = concurrentStoreLoads(engine);
+            boolean mayLoadFromStore = current.placement().availableLoads() >= 1 && loading < concurrentLoads;
             Optional<ReplicaPlanner.Move> move = new ReplicaPlanner(
                             engine,
                             engines,
                             estimates,
+                            concurrentLoads,
                             mayLoadFromStore,
                             mayDisplace,
                             underestimationFactor,
@@ -166,6 +167,7 @@
                 id,
                 target.limit().isPresent() ? Set.of() : Set.copyOf(kept),
                 reservedModels(state, target, nowMillis),
+                (nowMillis - engineState.changedAtMillis()) / MILLIS_PER_SECOND,
                 readyInSeconds(definition, target, engineState, longRunMillis, nowMillis),
                 incomingModel,
                 target.description().atHand());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -16,6 +16,9 @@
  * Plans which engine loads or unloads which model. The cost of a model is the number of its requests that miss their
  * objective within a horizon, either because they wait for a load while no engine holds the model or because they queue
  * at the engines that hold it. A model gets another replica if that saves clearly more than the displaced model loses.
+ *
+ * <p>A model that has been asked for in vain for too long is loaded whatever others lose, the one that has waited
+ * longest first. Where there are more models than room, they take turns, and those that are used least give way first.
  */
 final class ReplicaPlanner {
     private static final double HORIZON_SECONDS = 10; // typical duration of demand and of queues in overload
@@ -27,12 +30,18 @@
     private static final double COST_PER_ORDER_SECOND = 0.1; // in requests; a change blocks other orders of the engine
     private static final double MIN_BENEFIT = 0.2; // in requests; less is not worth an order
     private static final double LOAD_WEIGHT = 0.2; // prefers less loaded engines among equal ones
+    private static final long MAX_WAIT_MILLIS = 1_000; // leaves time for a load within the shortest deadlines
+    private static final int OVERDUE_LOADS_DIVISOR = 3; // the other loads follow the demand
+    private static final double MIN_STAY_LOADS = 3; // of the only replica of a model
+    private static final double MAX_EXTRA_LOSS = 5; // in requests; rather than lose more, a model waits
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     /**
      * Planning view of an engine.
      *
      * @param models models that it holds and is not unloading
      * @param reserved models that it may load without a further order, for which room is kept
+     * @param unchangedSeconds time since it began to load or unload a model
      * @param readyInSeconds time until it can accept an order, zero if idle; infinite if unknown
      * @param incomingModel model that it is loading or making room for
      * @param atHand models that it can load from host memory or disk, without the weight store
@@ -41,6 +50,7 @@
             String id,
             Set<String> models,
             Set<String> reserved,
+            double unchangedSeconds,
             double readyInSeconds,
             Optional<String> incomingModel,
             Set<String> atHand) {
@@ -65,7 +75,13 @@
         record Unload(String engine, String model, String inFavourOf) implements Move {}
     }
 
-    private record Candidate(Move move, boolean immediate, double benefit) {}
+    /**
+     * A possible move.
+     *
+     * @param immediate whether the engine can begin now
+     * @param settled whether no model would have to go before its load has paid off
+     */
+    private record Candidate(Move move, boolean immediate, boolean settled, double benefit) {}
 
     private final EngineDefinition definition;
     private final List<Engine> engines;
@@ -73,6 +89,8 @@
     private final boolean mayDisplace;
     private final double underestimationFactor;
     private final ReplicaCosts costs;
+    private final Map<String, DemandEstimate> demand;
+    private final long concurrentLoads;
     private final Map<String, Integer> replicasNow;
     private final Map<String, Integer> replicasExpected;
     private final double totalSurgeWeight;
@@ -82,6 +100,7 @@
      * Prepares a plan.
      *
      * @param demand demand by model
+     * @param concurrentLoads how many loads at once the weight store serves at full speed
      * @param mayLoadFromStore whether the weight store may be used now
      * @param mayDisplace whether demand is known well enough to unload a model in favour of another
      * @param underestimationFactor factor by which demand may be underestimated, at least one
@@ -91,12 +110,15 @@
             EngineDefinition definition,
             List<Engine> engines,
             Map<String, DemandEstimate> demand,
+            long concurrentLoads,
             boolean mayLoadFromStore,
             boolean mayDisplace,
             double underestimationFactor,
             PrefillStatistics statistics) {
         this.definition = definition;
         this.engines = engines;
+        this.demand = demand;
+        this.concurrentLoads = concurrentLoads;
         this.mayLoadFromStore = mayLoadFromStore;
         this.mayDisplace = mayDisplace;
         this.underestimationFactor = underestimationFactor;
@@ -111,8 +133,56 @@
         definition.models().keySet().forEach(model -> gains.put(model, gain(model)));
     }
 
-    /** Returns the most useful move, if there is one. */
+    /** Returns a move for the model that has waited too long, or else the most useful move, if there is one. */
     Optional<Move> plan() {
+        return planForOverdue().or(this::planByBenefit);
+    }
+
+    private Optional<Move> planForOverdue() {
+        if (countFirstLoads() >= Math.max(1, concurrentLoads / OVERDUE_LOADS_DIVISOR)) {
+            return Optional.empty();
+        }
+        return definition.models().keySet().stream()
+                .filter(this::isOverdue)
+                .sorted(Comparator.comparingLong((String model) -> -waitedMillis(model))
+                        .thenComparing(Comparator.naturalOrder()))
+                .flatMap(model -> bestForOverdue(model).stream())
+                .findFirst();
+    }
+
+    private boolean isOverdue(String model) {
+        return !replicasExpected.containsKey(model) && waitedMillis(model) >= MAX_WAIT_MILLIS;
+    }
+
+    private long waitedMillis(String model) {
+        return demand.getOrDefault(model, DemandEstimate.NONE).waitedMillis();
+    }
+
+    /** Returns how many engines load, or make room for, a model that no engine holds yet. */
+    private long countFirstLoads() {
+        return engines.stream()
+                .filter(Engine::loadsFromStore)
+                .filter(engine ->
+                        !replicasNow.containsKey(engine.incomingModel().get()))
+                .count();
+    }
+
+    /** Returns the move that costs least, among those that can begin now; empty while a much cheaper one is to come. */
+    private Optional<Move> bestForOverdue(String model) {
+        List<Candidate> candidates = candidates(model).toList();
+        Optional<Candidate> cheapest = best(candidates.stream());
+        boolean patient = waitedMillis(model) < HORIZON_SECONDS * MILLIS_PER_SECOND;
+        return best(candidates.stream().filter(candidate -> candidate.immediate() && candidate.settled()))
+                .filter(now -> !patient || cheapest.get().benefit() - now.benefit() <= MAX_EXTRA_LOSS)
+                .map(Candidate::move);
+    }
+
+    private static Optional<Candidate> best(Stream<Candidate> candidates) {
+        return candidates.max(Comparator.comparingDouble(Candidate::benefit)
+                .thenComparing(candidate -> candidate.move().engine()));
+    }
+
+    private Optional<Move> planByBenefit() {
         return definition.models().keySet().stream()
                 .filter(model -> gains.get(model) > MIN_BENEFIT)
                 .sorted(Comparator.comparingDouble((String model) -> -gains.get(model))
@@ -121,44 +191,49 @@
                 .findFirst();
     }
 
-    /** Returns the best move for the model; empty if waiting for a busy engine is better. */
-    private Optional<Move> bestFor(String model) {
+    private Stream<Candidate> candidates(String model) {
         return engines.stream()
                 .filter(engine -> Double.isFinite(engine.readyInSeconds()))
                 .filter(engine -> !engine.models().contains(model))
                 .filter(engine -> mayLoadFromStore || engine.atHand().contains(model))
-                .flatMap(engine -> candidate(engine, model).stream())
-                .filter(candidate -> candidate.benefit() > MIN_BENEFIT)
-                .max(Comparator.comparingDouble(Candidate::benefit)
-                        .thenComparing(candidate -> candidate.move().engine()))
+                .flatMap(engine -> candidates(engine, model));
+    }
+
+    /** Returns the best move for the model; empty if waiting for a busy engine is better. */
+    private Optional<Move> bestFor(String model) {
+        return best(candidates(model).filter(Candidate::settled).filter(candidate -> candidate.benefit() > MIN_BENEFIT))
                 .filter(Candidate::immediate)
                 .map(Candidate::move);
     }
 
-    private Optional<Candidate> candidate(Engine engine, String model) {
+    private Stream<Candidate> candidates(Engine engine, String model) {
         double loadSeconds = costs.loadSeconds(model, engine.atHand().contains(model));
         double engineCost = LOAD_WEIGHT * load(engine) + COST_PER_ORDER_SECOND * loadSeconds;
         if (fits(definition, union(engine.models(), engine.reserved()), model)) {
             double gain = gains.get(model) * usableShare(engine.readyInSeconds() + loadSeconds);
-            return Optional.of(new Candidate(new Move.Load(engine.id(), model), engine.idle(), gain - engineCost));
+            return Stream.of(new Candidate(new Move.Load(engine.id(), model), engine.idle(), true, gain - engineCost));
         }
         if (!mayDisplace || !fits(definition, engine.reserved(), model)) {
-            return Optional.empty();
+            return Stream.empty();
         }
         return engine.models().stream()
                 .sorted()
-                .map(unloaded -> displacement(engine, unloaded, model, loadSeconds, engineCost))
-                .max(Comparator.comparingDouble(Candidate::benefit));
+                .map(unloaded -> displacement(engine, unloaded, model, loadSeconds, engineCost));
     }
 
-    /** Rates the unloading of a model and of as many others as needed to make enough room. */
+    /**
+     * Rates the unloading of a model and of as many others as needed to make enough room. The only replica of a model
+     * has settled when it has been there for several times as long as its load takes.
+     */
     private Candidate displacement(
             Engine engine, String unloaded, String model, double loadSeconds, double engineCost) {
         Set<String> others = new HashSet<>(engine.models());
         double drainSeconds = 0;
         double loss = 0;
+        boolean settled = true;
         Optional<String> next = Optional.of(unloaded);
         while (next.isPresent()) {
+            settled &= hasSettled(engine, next.get());
             others.remove(next.get());
             double seconds = costs.drainSeconds(next.get(), replicasNow.getOrDefault(next.get(), 1));
             drainSeconds += seconds;
@@ -170,7 +245,13 @@
                                     .thenComparing(Comparator.naturalOrder()));
         }
         double gain = gains.get(model) * usableShare(engine.readyInSeconds() + drainSeconds + loadSeconds);
-        return new Candidate(new Move.Unload(engine.id(), unloaded, model), engine.idle(), gain - loss - engineCost);
+        Move unload = new Move.Unload(engine.id(), unloaded, model);
+        return new Candidate(unload, engine.idle(), settled, gain - loss - engineCost);
+    }
+
+    private boolean hasSettled(Engine engine, String model) {
+        return replicasNow.getOrDefault(model, 1) > 1
+                || engine.unchangedSeconds() >= MIN_STAY_LOADS * costs.shortestLoadSeconds(model);
     }
 
     /** Returns the share of the horizon in which a replica that is ready after the given time can be used. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ReplicaPlannerTest.java
@@ -19,6 +19,8 @@
 class ReplicaPlannerTest {
     private static final double HOT = 60_000;
     private static final double RARE = 1_000;
+    private static final long CONCURRENT_LOADS = 3;
+    private static final double SETTLED = 60; // seconds since a change
 
     private static EngineDefinition definition(int models) {
         Map<String, ModelDefinition> byName = new HashMap<>();
@@ -29,7 +31,7 @@
     }
 
     private static Engine engine(int number, String... models) {
-        return new Engine("e" + number, Set.of(models), Set.of(), 0, Optional.empty(), Set.of());
+        return new Engine("e" + number, Set.of(models), Set.of(), SETTLED, 0, Optional.empty(), Set.of());
     }
 
     private static DemandEstimate demand(double tokensPerSecond) {
@@ -38,7 +40,15 @@
 
     private static Optional<Move> plan(
             EngineDefinition definition, List<Engine> engines, Map<String, DemandEstimate> demandByModel) {
-        return new ReplicaPlanner(definition, engines, demandByModel, true, true, 1, PrefillStatistics.unknown())
+        return new ReplicaPlanner(
+                        definition,
+                        engines,
+                        demandByModel,
+                        CONCURRENT_LOADS,
+                        true,
+                        true,
+                        1,
+                        PrefillStatistics.unknown())
                 .plan();
     }
 
@@ -62,7 +72,7 @@
             case Move.Load load -> models.add(load.model());
             case Move.Unload unload -> models.remove(unload.model());
         }
-        return new Engine(engine.id(), Set.copyOf(models), Set.of(), 0, Optional.empty(), Set.of());
+        return new Engine(engine.id(), Set.copyOf(models), Set.of(), SETTLED, 0, Optional.empty(), Set.of());
     }
 
     private static long replicas(List<Engine> engines, String model) {
@@ -157,11 +167,12 @@
 
     @Test
     void exhaustedWeightStoreAllowsLoadsFromCopiesAtHand() {
-        Engine withCopy = new Engine("e1", Set.of(), Set.of(), 0, Optional.empty(), Set.of("m0"));
+        Engine withCopy = new Engine("e1", Set.of(), Set.of(), SETTLED, 0, Optional.empty(), Set.of("m0"));
         ReplicaPlanner planner = new ReplicaPlanner(
                 definition(2),
                 List.of(engine(0), withCopy),
                 Map.of("m0", demand(HOT), "m1", demand(HOT)),
+                CONCURRENT_LOADS,
                 false,
                 true,
                 1,
@@ -172,7 +183,8 @@
 
     @Test
     void engineThatExecutesAnOrderReceivesNoOther() {
-        Engine occupied = new Engine("e0", Set.of(), Set.of(), Double.POSITIVE_INFINITY, Optional.of("m1"), Set.of());
+        Engine occupied =
+                new Engine("e0", Set.of(), Set.of(), SETTLED, Double.POSITIVE_INFINITY, Optional.of("m1"), Set.of());
 
         assertThat(plan(definition(2), List.of(occupied), Map.of("m0", demand(HOT))))
                 .isEmpty();
@@ -188,7 +200,8 @@
         Map<String, DemandEstimate> demandByModel =
                 Map.of("m0", demand(load * statistics.tokensPerMillisecond() * 1_000));
         List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m1"));
-        return new ReplicaPlanner(definition, engines, demandByModel, true, true, 1, statistics).plan();
+        return new ReplicaPlanner(definition, engines, demandByModel, CONCURRENT_LOADS, true, true, 1, statistics)
+                .plan();
     }
 
     @Test
@@ -211,7 +224,7 @@
 
     @Test
     void copyAtHandIsPreferredToALoadFromTheStore() {
-        Engine withCopy = new Engine("e1", Set.of("m1"), Set.of(), 0, Optional.empty(), Set.of("m0"));
+        Engine withCopy = new Engine("e1", Set.of("m1"), Set.of(), SETTLED, 0, Optional.empty(), Set.of("m0"));
         List<Engine> engines = List.of(engine(0, "m0"), withCopy, engine(2));
 
         assertThat(plan(definition(2), engines, Map.of("m0", demand(HOT)))).contains(new Move.Load("e1", "m0"));
@@ -267,7 +280,7 @@
     void engineThatIsReadySoonWithACopyIsPreferredToALongLoadElsewhere() {
         EngineDefinition slow = new EngineDefinition(
                 64, 150_000, 200_000, 5, 1, Map.of("m0", new ModelDefinition("m0", 72_700, 8_000, 1_000, 600, 66)));
-        Engine busy = new Engine("e1", Set.of(), Set.of(), 0.5, Optional.of("m9"), Set.of("m0"));
+        Engine busy = new Engine("e1", Set.of(), Set.of(), SETTLED, 0.5, Optional.of("m9"), Set.of("m0"));
 
         Optional<Move> move =
                 plan(slow, List.of(engine(0), busy), Map.of("m0", new DemandEstimate(HOT, HOT, 3, 600, 0)));
@@ -280,9 +293,67 @@
         List<Engine> engines = List.of(engine(0, "m0", "m1"), engine(1, "m0", "m2"));
 
         Optional<Move> move = new ReplicaPlanner(
-                        definition(5), engines, Map.of(), true, false, 1, PrefillStatistics.unknown())
+                        definition(5), engines, Map.of(), CONCURRENT_LOADS, true, false, 1, PrefillStatistics.unknown())
                 .plan();
 
         assertThat(move).isEmpty();
     }
+
+    private static DemandEstimate overdue(long waitedMillis) {
+        return new DemandEstimate(RARE / 10, RARE / 10, 0, 600, waitedMillis);
+    }
+
+    // Guards against a further replica of a busy model that goes before the first one of another.
+    @Test
+    void modelThatHasWaitedTooLongIsLoadedBeforeAFurtherReplica() {
+        List<Engine> engines = List.of(engine(0, "m0"), engine(1, "m1", "m2"));
+        Map<String, DemandEstimate> demandByModel = Map.of("m0", demand(10 * HOT), "m3", overdue(1_000));
+
+        Optional<Move> move = plan(definition(4), engines, demandByModel);
+
+        assertThat(move)
+                .hasValueSatisfying(
+                        found -> assertThat(((Move.Load) found).model()).isEqualTo("m3"));
+    }
+
+    @Test
+    void modelThatHasWaitedLongestIsFirst() {
+        List<Engine> engines = List.of(engine(0, "m0"));
+        Map<String, DemandEstimate> demandByModel =
+                Map.of("m0", demand(HOT), "m1", overdue(2_000), "m2", overdue(3_000), "m3", overdue(1_000));
+
+        assertThat(plan(definition(4), engines, demandByModel)).contains(new Move.Load("e0", "m2"));
+    }
+
+    @Test
+    void furtherReplicaGivesWayBeforeTheOnlyOneOfAModelInUse() {
+        List<Engine> engines = List.of(engine(0, "m0", "m1"), engine(1, "m0", "m2"));
+        Map<String, DemandEstimate> demandByModel =
+                Map.of("m0", demand(RARE), "m1", demand(HOT), "m2", demand(HOT), "m3", overdue(1_000));
+
+        Optional<Move> move = plan(definition(4), engines, demandByModel);
+
+        assertThat(move)
+                .hasValueSatisfying(
+                        found -> assertThat(((Move.Unload) found).model()).isEqualTo("m0"));
+    }
+
+    @Test
+    void onlyReplicaStaysUntilItsEngineHasSettled() {
+        Engine unsettled = new Engine("e0", Set.of("m0", "m1"), Set.of(), 3, 0, Optional.empty(), Set.of());
+        Map<String, DemandEstimate> demandByModel =
+                Map.of("m0", demand(RARE), "m1", demand(RARE), "m3", overdue(9_000));
+
+        assertThat(plan(definition(4), List.of(unsettled), demandByModel)).isEmpty();
+    }
+
+    // Guards against demand that is not followed because models that take turns use up all loads.
+    @Test
+    void mostLoadsFollowTheDemandWhileModelsTakeTurns() {
+        Engine making = new Engine("e0", Set.of("m1"), Set.of(), SETTLED, 1, Optional.of("m2"), Set.of());
+        List<Engine> engines = List.of(making, engine(1, "m0"), engine(2));
+        Map<String, DemandEstimate> demandByModel = Map.of("m0", demand(10 * HOT), "m3", overdue(1_000));
+
+        assertThat(plan(definition(4), engines, demandByModel)).contains(new Move.Load("e2", "m0"));
+    }
 }
