The planner prices each model once for a plan

The planner computed the loss of each model anew for each engine and each model that it wanted to place, and the highest rate of the fleet for each of these. Prices of one plan are now kept for it.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -94,7 +94,12 @@
     private final Map<String, Integer> replicasNow;
     private final Map<String, Integer> replicasExpected;
     private final double totalSurgeWeight;
+    private final double surgeRate;
     private final Map<String, Double> gains;
+    private final Map<String, Double> lossesWithCopy = new HashMap<>();
+    private final Map<String, Double> lossesWithoutCopy = new HashMap<>();
+    private final Map<String, Double> loads = new HashMap<>();
+    private final Map<String, Double> drainSeconds = new HashMap<>();
 
     /**
      * Prepares a plan.
@@ -129,6 +134,7 @@
                 .sorted()
                 .mapToDouble(this::surgeWeight)
                 .sum();
+        this.surgeRate = Math.max(MIN_SURGE_RATE, costs.highestRate());
         this.gains = new HashMap<>();
         definition.models().keySet().forEach(model -> gains.put(model, gain(model)));
     }
@@ -228,15 +234,15 @@
     private Candidate displacement(
             Engine engine, String unloaded, String model, double loadSeconds, double engineCost) {
         Set<String> others = new HashSet<>(engine.models());
-        double drainSeconds = 0;
+        double totalDrainSeconds = 0;
         double loss = 0;
         boolean settled = true;
         Optional<String> next = Optional.of(unloaded);
         while (next.isPresent()) {
             settled &= hasSettled(engine, next.get());
             others.remove(next.get());
-            double seconds = costs.drainSeconds(next.get(), replicasNow.getOrDefault(next.get(), 1));
-            drainSeconds += seconds;
+            double seconds = drainSeconds(next.get());
+            totalDrainSeconds += seconds;
             loss += loss(engine, next.get()) + COST_PER_ORDER_SECOND * seconds;
             next = fits(definition, union(others, engine.reserved()), model)
                     ? Optional.empty()
@@ -244,7 +250,7 @@
                             .min(Comparator.comparingDouble((String other) -> loss(engine, other))
                                     .thenComparing(Comparator.naturalOrder()));
         }
-        double gain = gains.get(model) * usableShare(engine.readyInSeconds() + drainSeconds + loadSeconds);
+        double gain = gains.get(model) * usableShare(engine.readyInSeconds() + totalDrainSeconds + loadSeconds);
         Move unload = new Move.Unload(engine.id(), unloaded, model);
         return new Candidate(unload, engine.idle(), settled, gain - loss - engineCost);
     }
@@ -278,8 +284,16 @@
         return Stream.concat(one.stream(), other.stream()).collect(Collectors.toUnmodifiableSet());
     }
 
+    private double drainSeconds(String model) {
+        return drainSeconds.computeIfAbsent(model, name -> costs.drainSeconds(name, replicasNow.getOrDefault(name, 1)));
+    }
+
     /** Returns the load of the models of an engine, as a share of its time. */
     private double load(Engine engine) {
+        return loads.computeIfAbsent(engine.id(), id -> sumOfLoads(engine));
+    }
+
+    private double sumOfLoads(Engine engine) {
         return engine.models().stream()
                 .sorted()
                 .mapToDouble(model -> costs.load(model) / Math.max(1, replicasNow.getOrDefault(model, 1)))
@@ -295,8 +309,13 @@
 
     /** Returns how many more requests miss their objective if the engine unloads its replica. */
     private double loss(Engine engine, String model) {
+        boolean copyAtHand = engine.atHand().contains(model);
+        Map<String, Double> losses = copyAtHand ? lossesWithCopy : lossesWithoutCopy;
+        return losses.computeIfAbsent(model, name -> loss(name, costs.loadSeconds(name, copyAtHand)));
+    }
+
+    private double loss(String model, double reloadSeconds) {
         int count = replicasNow.getOrDefault(model, 1);
-        double reloadSeconds = costs.loadSeconds(model, engine.atHand().contains(model));
         double remainingCost = count > 1
                 ? costs.cost(model, count - 1, HORIZON_SECONDS)
                 : costs.costWithout(model, reloadSeconds, HORIZON_SECONDS) + costs.waiting(model);
@@ -308,9 +327,8 @@
 
     /** Returns how many requests are expected to wait because the highest demand shifts to a model without replica. */
     private double surgeCost(String model, double loadSeconds) {
-        double rate = Math.max(MIN_SURGE_RATE, costs.highestRate());
         double chance = HORIZON_SECONDS / SURGE_SECONDS * surgeWeight(model) / totalSurgeWeight;
-        return chance * rate * (loadSeconds + MAKE_ROOM_SECONDS);
+        return chance * surgeRate * (loadSeconds + MAKE_ROOM_SECONDS);
     }
 
     /** Returns the relative chance that demand shifts to the model; it is lower for a model with demand already. */
