Copies of one request do not convict the shared parts of its prompt

Cause: a part is guilty with three losses under two requests; a suspect was known by the id that its caller gave this attempt, so that copies of one request counted as several.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
@@ -80,7 +80,8 @@
                 (long) REQUEST_UNITS,
                 0,
                 !model.isEmpty(),
-                List.of(new PromptPart(number, (int) REQUEST_UNITS)));
+                List.of(new PromptPart(number, (int) REQUEST_UNITS)),
+                number);
     }
 
     static double units() {
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/PolicyRun.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/PolicyRun.java
@@ -177,7 +177,8 @@
                 call.inputTokens(),
                 call.maximumOutputTokens(),
                 call.countsTokens(),
-                call.prompt());
+                call.prompt(),
+                call.fingerprint());
     }
 
     private CallerRequest call(RequestKind kind, Random source) {
@@ -207,7 +208,8 @@
                 tokens + own,
                 output,
                 true,
-                List.copyOf(parts));
+                List.copyOf(parts),
+                lastId);
     }
 
     private double lognormal(Random source, double median, double sigma) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
@@ -43,11 +43,7 @@
         }
         Quarantine before = state.quarantine();
         Quarantine changed = before.withLoss(
-                        incarnation(target),
-                        request.call().callerRequestId().hashCode(),
-                        sentAtMillis,
-                        parts,
-                        nowMillis)
+                        incarnation(target), request.call().fingerprint(), sentAtMillis, parts, nowMillis)
                 .withNewGroups(nowMillis);
         FleetState told = state.with(changed).with(state.sent().withDigestDue());
         return apply(before, told, "own", nowMillis, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/QuarantineReport.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/QuarantineReport.java
@@ -44,7 +44,7 @@
     /**
      * A request that was lost with its engine.
      *
-     * @param request hash of the caller's request id
+     * @param request fingerprint of the request; copies of one request have the same
      * @param waitedMillis time from sending the request until the engine was lost
      * @param parts ids of the shared parts of its prompt
      */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -26,8 +26,9 @@
 import org.jackdawbeam.model.request.AttemptId;
 
 /**
- * A fleet of entries with simulated engines. An engine crashes when it begins to answer a request with one of the
- * crashing parts, loses all its connections, and starts again under the same id some seconds later.
+ * A fleet of entries with simulated engines and a service of three copies. A target crashes when it begins to answer a
+ * crashing request, or one with a crashing part, loses all its connections, and starts again under the same id some
+ * seconds later.
  */
 final class CrashingPromptFleet {
     static final long FIRST_PART = 1; // shared by all requests
@@ -37,11 +38,13 @@
     private static final long MESSAGE_MILLIS = 2;
     private static final long TICK_MILLIS = 50;
     private static final int SHARED_PARTS = 40;
+    private static final int SERVICE_COPIES = 3;
 
     final List<Long> crashes = new ArrayList<>();
     final List<Arrival> arrivals = new ArrayList<>();
     final Map<String, Outcome> outcomes = new TreeMap<>();
     final Set<Long> crashingParts = new HashSet<>();
+    final Set<Long> crashingRequests = new HashSet<>();
     private final Map<Set<Long>, QuarantinedParts> stored = new HashMap<>();
     private final FleetReducer reducer = new FleetReducer();
     private final Map<String, FleetState> states = new TreeMap<>();
@@ -81,6 +84,9 @@
         for (int number = 0; number < engines; number++) {
             startedAtByEngine.put(engineId(number), 7L);
         }
+        for (int number = 0; number < SERVICE_COPIES; number++) {
+            startedAtByEngine.put(serviceId(number), 7L);
+        }
         members.forEach(this::start);
         after(TICK_MILLIS, this::tick);
     }
@@ -161,6 +167,11 @@
     }
 
     void call(String entry, boolean crashing, String route, List<PromptPart> parts) {
+        call(entry, crashing, route, parts, -lastNumber - 1);
+    }
+
+    /** Sends a copy of the request with the fingerprint. */
+    void call(String entry, boolean crashing, String route, List<PromptPart> parts, long fingerprint) {
         long number = ++lastNumber;
         String id = "request-" + number;
         CallerRequest call = new CallerRequest(
@@ -169,12 +180,13 @@
                 "/" + route + "/x",
                 Optional.of(FleetFixture.KEY),
                 4_000,
-                Optional.of("m1"),
+                parts.isEmpty() ? Optional.empty() : Optional.of("m1"),
                 Optional.empty(),
                 parts.stream().mapToInt(PromptPart::tokens).sum(),
                 20,
-                true,
-                parts);
+                !parts.isEmpty(),
+                parts,
+                fingerprint);
         callsById.put(id, call);
         outcomes.put(id, new Outcome(crashing, nowMillis, false, Optional.empty()));
         apply(entry, new FleetEvent.RequestArrived(nowMillis, number, call));
@@ -195,10 +207,22 @@
         crash(engineId(engine));
     }
 
+    void crashService(int copy) {
+        crash(serviceId(copy));
+    }
+
     int engines() {
         return engines;
     }
 
+    int randomNumber(int bound) {
+        return random.nextInt(bound);
+    }
+
+    void after(long delayMillis, Runnable action) {
+        queue.add(new Timed(nowMillis + delayMillis, ++lastNumber, action));
+    }
+
     /** Resets one connection of an engine that goes on running. */
     void resetOneConnection(int engine) {
         runningByEngine.getOrDefault(engineId(engine), Set.of()).stream()
@@ -219,15 +243,20 @@
         }
     }
 
+    /** Returns the ids of what the store holds as quarantined. */
     Set<Set<Long>> stored() {
         return stored.keySet();
     }
 
     long refusedAsQuarantined(boolean crashing) {
+        return refused(crashing, RefusalCode.PROMPT_QUARANTINED);
+    }
+
+    private long refused(boolean crashing, RefusalCode code) {
         return outcomes.values().stream()
                 .filter(outcome -> outcome.crashing() == crashing)
                 .filter(outcome -> outcome.refusal()
-                        .filter(refusal -> refusal.code() == RefusalCode.PROMPT_QUARANTINED)
+                        .filter(refusal -> refusal.code() == code)
                         .isPresent())
                 .count();
     }
@@ -352,8 +381,12 @@
     }
 
     private boolean isCrashing(String request) {
-        List<PromptPart> prompt = callsById.get(request).prompt();
-        return prompt.subList(0, prompt.size() - 1).stream().anyMatch(part -> crashingParts.contains(part.id()));
+        CallerRequest call = callsById.get(request);
+        List<PromptPart> prompt = call.prompt();
+        return crashingRequests.contains(call.fingerprint())
+                || !prompt.isEmpty()
+                        && prompt.subList(0, prompt.size() - 1).stream()
+                                .anyMatch(part -> crashingParts.contains(part.id()));
     }
 
     private FleetEvent read(Feed feed, FeedEntry... entries) {
@@ -365,12 +398,13 @@
                 .filter(engine -> !crashed.contains(engine.getKey()))
                 .map(engine -> new FeedEntry.Target(new TargetDescription(
                         engine.getKey(),
-                        "engines",
-                        "10.0.0.1:" + engine.getKey().substring(1),
+                        isService(engine.getKey()) ? "payments" : "engines",
+                        (isService(engine.getKey()) ? "10.0.0.2:" : "10.0.0.1:")
+                                + engine.getKey().substring(1),
                         "zone-0",
                         64,
                         false,
-                        Set.of("m1"),
+                        isService(engine.getKey()) ? Set.of() : Set.of("m1"),
                         Set.of(),
                         engine.getValue(),
                         0)))
@@ -381,7 +415,11 @@
         return "e" + (10 + number);
     }
 
-    private void after(long delayMillis, Runnable action) {
-        queue.add(new Timed(nowMillis + delayMillis, ++lastNumber, action));
+    private static String serviceId(int number) {
+        return "s" + (10 + number);
+    }
+
+    private static boolean isService(String target) {
+        return target.startsWith("s");
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -281,7 +281,8 @@
                 call.inputTokens(),
                 call.maximumOutputTokens(),
                 call.countsTokens(),
-                parts);
+                parts,
+                call.fingerprint());
     }
 
     private CallerRequest call(
@@ -297,7 +298,8 @@
                 tokens,
                 0,
                 model.isPresent(),
-                List.of(new PromptPart(lastRequest, (int) tokens)));
+                List.of(new PromptPart(lastRequest, (int) tokens)),
+                lastRequest);
     }
 
     void answer(AttemptId attempt, int status, boolean notExecuted) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -149,7 +149,8 @@
                 0,
                 0,
                 false,
-                List.of());
+                List.of(),
+                exchange.headers().get("id", "").hashCode());
     }
 
     void acceptAll(Script script) {
