Requests under which targets crash are quarantined as a whole

Cause: QuarantineFlow.onEngineLost returned for requests without shared parts of a prompt. A second quarantine holds fingerprints of requests, apart from that of parts, whose ids callers choose. Three targets lost under copies convict, also at the same moment; any answer clears, also for ten seconds to come. 503 REQUEST_QUARANTINED, seen and lifted at /quarantine, kept in the store, told with the heartbeats.

Conclusion: fixed for connections that close; a target that falls silent still leaves no evidence (PlatformQuarantineTest stays red).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -83,7 +83,11 @@
                     updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
-        return updated.with(request.withAnswerStarted(new RequestPhase.Running(event.attempt(), id, true, false)));
+        // A service answers when it has finished; an engine may still crash when only the head of a stream has come.
+        FleetState recorded = request.route().kind() == RouteKind.STREAMING
+                ? updated
+                : recordAnswer(updated, request, (RequestPhase.Running) request.phase(), event.nowMillis(), effects);
+        return recorded.with(request.withAnswerStarted(new RequestPhase.Running(event.attempt(), id, true, false)));
     }
 
     /** Learns the prefill speed from the time to the first bytes, which includes the prompts queued before it. */
@@ -183,7 +187,7 @@
                 updated, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
     }
 
-    /** Records a lost connection as evidence against the prompt, if the answer had not begun. */
+    /** Records a lost connection as evidence against the request, if its answer had not begun. */
     private FleetState recordLoss(
             FleetState state, FleetRequest request, FleetEvent.AttemptFailed event, List<FleetEffect> effects) {
         RequestPhase.Running running = (RequestPhase.Running) request.phase();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -233,7 +233,7 @@
         return refuse(next, request, refusal(request, code, RETRY_MILLIS), reason, effects);
     }
 
-    /** Refuses a request whose prompt contains quarantined parts. */
+    /** Refuses a request that is quarantined, or whose prompt contains quarantined parts. */
     FleetState refuseQuarantined(
             FleetState state,
             FleetRequest request,
@@ -241,8 +241,8 @@
             long nowMillis,
             List<FleetEffect> effects) {
         FleetState next = request.hasNotRun() ? quota.refund(state, request, nowMillis, effects) : state;
-        Refusal refusal = refusal(request, RefusalCode.PROMPT_QUARANTINED, blocked.retryAfterMillis());
-        return refuse(next, request, refusal, "quarantined prompt parts " + blocked.parts(), effects);
+        Refusal refusal = refusal(request, blocked.code(), blocked.retryAfterMillis());
+        return refuse(next, request, refusal, blocked.reason(), effects);
     }
 
     static FleetState releaseAttempt(FleetState state, RequestPhase.Running running) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -38,8 +38,8 @@
     /** Reads the leadership log from an offset. */
     record ReadLeadership(long fromOffset) implements FleetEffect {}
 
-    /** Writes a quarantined group of prompt parts to the store, or removes a released one. */
-    record StoreQuarantine(Set<Long> group, QuarantineReport.QuarantinedParts parts) implements FleetEffect {}
+    /** Writes a quarantined group of prompt parts or a request to the store, or removes a released one. */
+    record StoreQuarantine(QuarantinedGroup group, QuarantineReport.QuarantinedParts parts) implements FleetEffect {}
 
     /** Sends a message to another entry. */
     record SendPeerMessage(String address, FleetMessage message) implements FleetEffect {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.Feed;
@@ -84,10 +83,10 @@
     }
 
     /** A write of a quarantined group to the store ended. */
-    record QuarantineStored(long nowMillis, Set<Long> group, boolean accepted) implements FleetEvent {}
+    record QuarantineStored(long nowMillis, QuarantinedGroup group, boolean accepted) implements FleetEvent {}
 
-    /** An operator asked to release a quarantined group of prompt parts. */
-    record ReleaseRequested(long nowMillis, Set<Long> group) implements FleetEvent {}
+    /** An operator asked to release a quarantined group of prompt parts or a request. */
+    record ReleaseRequested(long nowMillis, QuarantinedGroup group) implements FleetEvent {}
 
     /** A message from another entry arrived. */
     record PeerReceived(long nowMillis, FleetMessage message) implements FleetEvent {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -1,13 +1,13 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.Optional;
-import java.util.Set;
 import org.jackdawbeam.logic.placement.Demand;
 import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetBounds;
 import org.jackdawbeam.model.fleet.FleetConfiguration;
 import org.jackdawbeam.model.fleet.FleetMember;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -30,7 +30,8 @@
  * @param sent the load information last sent to the peers
  * @param hub state of the hub topology, used in a fleet that is too large for a full mesh
  * @param quarantine prompt parts that may crash engines
- * @param storedQuarantine what the store is known to hold of it
+ * @param requestQuarantine requests that may crash engines
+ * @param storedQuarantine what the store is known to hold of both
  */
 public record FleetState(
         FleetMember self,
@@ -57,7 +58,8 @@
         SentWork sent,
         HubState hub,
         Quarantine quarantine,
-        PMap<Set<Long>, StoredQuarantine> storedQuarantine) {
+        Quarantine requestQuarantine,
+        PMap<QuarantinedGroup, StoredQuarantine> storedQuarantine) {
     static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last at least three seconds
     private static final double OBJECTIVE_WEIGHT = 0.1; // averages over about ten requests
     private static final double TYPICAL_WEIGHT = 0.05; // averages over about twenty, as prompt lengths differ tenfold
@@ -92,7 +94,8 @@
                 new StopStage.Serving(),
                 SentWork.none(),
                 HubState.none(),
-                Quarantine.empty(),
+                Quarantine.empty(QuarantineScope.PROMPT_PARTS),
+                Quarantine.empty(QuarantineScope.REQUESTS),
                 HashTreePMap.empty());
     }
 
@@ -244,17 +247,28 @@
         return builder.build();
     }
 
+    /** Returns the quarantine of the scope. */
+    public Quarantine quarantine(QuarantineScope scope) {
+        return switch (scope) {
+            case PROMPT_PARTS -> quarantine;
+            case REQUESTS -> requestQuarantine;
+        };
+    }
+
     FleetState with(Quarantine changed) {
         Builder builder = new Builder(this);
-        builder.quarantine = changed;
+        switch (changed.scope()) {
+            case PROMPT_PARTS -> builder.quarantine = changed;
+            case REQUESTS -> builder.requestQuarantine = changed;
+        }
         return builder.build();
     }
 
-    FleetState withStored(Set<Long> group, StoredQuarantine stored) {
+    FleetState withStored(QuarantinedGroup group, StoredQuarantine stored) {
         return withStoredQuarantine(storedQuarantine.plus(group, stored));
     }
 
-    FleetState withStoredQuarantine(PMap<Set<Long>, StoredQuarantine> changed) {
+    FleetState withStoredQuarantine(PMap<QuarantinedGroup, StoredQuarantine> changed) {
         Builder builder = new Builder(this);
         builder.storedQuarantine = changed;
         return builder.build();
@@ -295,7 +309,8 @@
         private SentWork sent;
         private HubState hub;
         private Quarantine quarantine;
-        private PMap<Set<Long>, StoredQuarantine> storedQuarantine;
+        private Quarantine requestQuarantine;
+        private PMap<QuarantinedGroup, StoredQuarantine> storedQuarantine;
 
         Builder(FleetState source) {
             self = source.self;
@@ -322,6 +337,7 @@
             sent = source.sent;
             hub = source.hub;
             quarantine = source.quarantine;
+            requestQuarantine = source.requestQuarantine;
             storedQuarantine = source.storedQuarantine;
         }
 
@@ -351,6 +367,7 @@
                     sent,
                     hub,
                     quarantine,
+                    requestQuarantine,
                     storedQuarantine);
         }
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -93,7 +93,8 @@
         if (newIncarnation) {
             effects.add(FleetEffect.Note.of("peer_heard", "member", digest.sender()));
             effects.addAll(residencies(next, digest.member().peerAddress(), nowMillis));
-            next = next.with(next.quarantine().touch(nowMillis));
+            next = next.with(next.quarantine().touch(nowMillis))
+                    .with(next.requestQuarantine().touch(nowMillis));
         }
         if (digest.leadership().isPresent()) {
             next = leadership.onClaim(next, nowMillis, digest.leadership().get(), effects);
@@ -194,8 +195,10 @@
     /** Returns what to tell of the quarantine with a heartbeat: recent changes, and everything now and then. */
     static Optional<QuarantineReport> quarantine(FleetState state, long nowMillis) {
         long heartbeat = nowMillis / FleetTimings.heartbeatMillis(state.memberCount());
-        QuarantineReport report =
-                state.quarantine().report(heartbeat % FULL_QUARANTINE_INTERVAL_HEARTBEATS == 0, nowMillis);
+        boolean all = heartbeat % FULL_QUARANTINE_INTERVAL_HEARTBEATS == 0;
+        QuarantineReport report = state.quarantine()
+                .report(all, nowMillis)
+                .withRequests(state.requestQuarantine().report(all, nowMillis));
         return report.equals(QuarantineReport.empty()) ? Optional.empty() : Optional.of(report);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineFlow.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.logic.fleet;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,12 +10,13 @@
 import org.jackdawbeam.logic.quarantine.QuarantineEntry;
 import org.jackdawbeam.model.fleet.QuarantineReport;
 import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.jackdawbeam.model.refusal.Refusal;
 import org.jackdawbeam.model.refusal.RefusalCode;
 
 /**
- * Collects evidence on prompt parts that crash engines, exchanges it with the other entries, and keeps the quarantined
- * groups in the store, from which an entry that has just started reads them.
+ * Collects evidence on prompt parts and on requests that crash engines, exchanges it with the other entries, and keeps
+ * what is quarantined in the store, from which an entry that has just started reads it.
  */
 final class QuarantineFlow {
     private static final long STORE_RETRY_MILLIS = 1_000;
@@ -37,16 +39,20 @@
             long sentAtMillis,
             long nowMillis,
             List<FleetEffect> effects) {
-        List<Long> parts = QuarantineGate.sharedParts(request.call());
-        if (parts.isEmpty() || target.isLeaving()) {
+        if (target.isLeaving()) {
             return state;
         }
-        Quarantine before = state.quarantine();
-        Quarantine changed = before.withLoss(
-                        incarnation(target), request.call().fingerprint(), sentAtMillis, parts, nowMillis)
-                .withNewGroups(nowMillis);
-        FleetState told = state.with(changed).with(state.sent().withDigestDue());
-        return apply(before, told, "own", nowMillis, effects);
+        FleetState next = state.with(state.sent().withDigestDue());
+        for (QuarantineScope scope : QuarantineScope.values()) {
+            List<Long> ids = QuarantineGate.ids(scope, request.call());
+            Quarantine before = state.quarantine(scope);
+            Quarantine changed = ids.isEmpty()
+                    ? before
+                    : before.withLoss(incarnation(target), request.call().fingerprint(), sentAtMillis, ids, nowMillis)
+                            .withNewGroups(nowMillis);
+            next = apply(before, next.with(changed), "own", nowMillis, effects);
+        }
+        return next;
     }
 
     /** Records that an engine has begun to write the answer of a request. */
@@ -57,39 +63,60 @@
             long sentAtMillis,
             long nowMillis,
             List<FleetEffect> effects) {
-        List<Long> parts = QuarantineGate.sharedParts(request.call());
-        if (parts.isEmpty()) {
-            return state;
+        FleetState next = state;
+        for (QuarantineScope scope : QuarantineScope.values()) {
+            List<Long> ids = QuarantineGate.ids(scope, request.call());
+            Quarantine before = state.quarantine(scope);
+            Quarantine changed =
+                    ids.isEmpty() ? before : before.withAnswer(incarnation(target), sentAtMillis, ids, nowMillis);
+            next = apply(before, next.with(changed), "answer", nowMillis, effects);
         }
-        Quarantine before = state.quarantine();
-        Quarantine changed = before.withAnswer(incarnation(target), sentAtMillis, parts, nowMillis);
-        return apply(before, state.with(changed), "answer", nowMillis, effects);
+        return next;
     }
 
     /** Merges what another entry knows. */
     FleetState onReport(
             FleetState state, String sender, QuarantineReport report, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = onReport(state, QuarantineScope.PROMPT_PARTS, sender, report, nowMillis, effects);
+        return report.requests().isEmpty()
+                ? next
+                : onReport(
+                        next,
+                        QuarantineScope.REQUESTS,
+                        sender,
+                        report.requests().get(),
+                        nowMillis,
+                        effects);
+    }
+
+    private FleetState onReport(
+            FleetState state,
+            QuarantineScope scope,
+            String sender,
+            QuarantineReport report,
+            long nowMillis,
+            List<FleetEffect> effects) {
         if (report.losses().isEmpty() && report.quarantined().isEmpty()) {
             return state;
         }
-        Quarantine before = state.quarantine();
+        Quarantine before = state.quarantine(scope);
         Quarantine changed = before.merge(report, nowMillis).withNewGroups(nowMillis);
         return apply(before, state.with(changed), sender, nowMillis, effects);
     }
 
     /** Adds a quarantined group that the store holds. */
     FleetState onStoredEntry(FleetState state, QuarantinedParts stored, long nowMillis, List<FleetEffect> effects) {
-        Set<Long> group = Set.copyOf(stored.parts());
+        QuarantinedGroup group = new QuarantinedGroup(stored.scope(), Set.copyOf(stored.parts()));
         FleetState known = state.withStored(group, new StoredQuarantine(stored.trials(), false, true, nowMillis));
-        Quarantine before = state.quarantine();
-        return apply(
-                before, known.with(before.withStored(group, stored.trials(), nowMillis)), "store", nowMillis, effects);
+        Quarantine before = state.quarantine(stored.scope());
+        Quarantine changed = before.withStored(group.ids(), stored.trials(), nowMillis);
+        return apply(before, known.with(changed), "store", nowMillis, effects);
     }
 
     /** Releases a quarantined group at the request of an operator. */
-    FleetState onReleaseRequested(FleetState state, Set<Long> group, long nowMillis, List<FleetEffect> effects) {
-        Quarantine before = state.quarantine();
-        return apply(before, state.with(before.withReleased(group, nowMillis)), "operator", nowMillis, effects);
+    FleetState onReleaseRequested(FleetState state, QuarantinedGroup group, long nowMillis, List<FleetEffect> effects) {
+        Quarantine before = state.quarantine(group.scope());
+        return apply(before, state.with(before.withReleased(group.ids(), nowMillis)), "operator", nowMillis, effects);
     }
 
     FleetState onStored(FleetState state, FleetEvent.QuarantineStored event) {
@@ -102,22 +129,31 @@
     }
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
-        Quarantine quarantine = state.quarantine();
+        FleetState next = state;
+        for (QuarantineScope scope : QuarantineScope.values()) {
+            next = tick(next, scope, nowMillis, effects);
+        }
+        return next;
+    }
+
+    private static FleetState tick(FleetState state, QuarantineScope scope, long nowMillis, List<FleetEffect> effects) {
+        Quarantine quarantine = state.quarantine(scope);
         if (quarantine.losses().isEmpty() && quarantine.entries().isEmpty()) {
             return state;
         }
         FleetState next = forgetExpired(state.with(quarantine.expire(nowMillis)));
         for (Map.Entry<Set<Long>, QuarantineEntry> entry :
-                next.quarantine().entries().entrySet()) {
-            next = store(next, entry.getKey(), entry.getValue(), nowMillis, effects);
+                next.quarantine(scope).entries().entrySet()) {
+            QuarantinedGroup group = new QuarantinedGroup(scope, entry.getKey());
+            next = store(next, group, entry.getValue(), nowMillis, effects);
         }
         return next;
     }
 
     private static FleetState forgetExpired(FleetState state) {
         FleetState next = state;
-        for (Set<Long> group : state.storedQuarantine().keySet()) {
-            boolean expired = !state.quarantine().entries().containsKey(group);
+        for (QuarantinedGroup group : state.storedQuarantine().keySet()) {
+            boolean expired = !state.quarantine(group.scope()).entries().containsKey(group.ids());
             next = expired ? next.withStoredQuarantine(next.storedQuarantine().minus(group)) : next;
         }
         return next;
@@ -125,21 +161,28 @@
 
     /** Returns whether a request may be repeated at another engine after its engine was lost. */
     static boolean mayRepeat(FleetState state, FleetRequest request) {
-        List<Long> parts = QuarantineGate.sharedParts(request.call());
-        return state.quarantine().countLosses(parts) <= MAX_LOSSES_BEFORE_REPEAT;
+        return Arrays.stream(QuarantineScope.values())
+                .allMatch(scope -> state.quarantine(scope).countLosses(QuarantineGate.ids(scope, request.call()))
+                        <= MAX_LOSSES_BEFORE_REPEAT);
     }
 
     /** Writes a group to the store if this entry is responsible for it and the store does not hold its latest state. */
     private static FleetState store(
-            FleetState state, Set<Long> group, QuarantineEntry entry, long nowMillis, List<FleetEffect> effects) {
+            FleetState state,
+            QuarantinedGroup group,
+            QuarantineEntry entry,
+            long nowMillis,
+            List<FleetEffect> effects) {
         StoredQuarantine stored = state.storedQuarantine().get(group);
         boolean upToDate =
                 stored != null && stored.matches(entry) && (stored.confirmed() || nowMillis < stored.retryAtMillis());
-        if (upToDate || !QuotaFlow.isFirst(state, QuarantineGate.format(group), nowMillis)) {
+        if (upToDate || !QuotaFlow.isFirst(state, QuarantineGate.format(group.ids()), nowMillis)) {
             return state;
         }
         effects.add(new FleetEffect.StoreQuarantine(
-                group, new QuarantinedParts(List.copyOf(new TreeSet<>(group)), entry.trials(), entry.released(), 0)));
+                group,
+                new QuarantinedParts(
+                        group.scope(), List.copyOf(new TreeSet<>(group.ids())), entry.trials(), entry.released(), 0)));
         return state.withStored(
                 group, new StoredQuarantine(entry.trials(), entry.released(), false, nowMillis + STORE_RETRY_MILLIS));
     }
@@ -147,7 +190,7 @@
     /** Logs what has changed, tells it to the other entries, and ends attempts with newly quarantined parts. */
     private FleetState apply(
             Quarantine before, FleetState state, String source, long nowMillis, List<FleetEffect> effects) {
-        Quarantine after = state.quarantine();
+        Quarantine after = state.quarantine(before.scope());
         if (after.entries() == before.entries()) {
             return state;
         }
@@ -164,14 +207,16 @@
             }
         }
         FleetState told = news ? state.with(state.sent().withDigestDue()) : state;
-        return added ? cancelAttempts(told, nowMillis, effects) : told;
+        return added ? cancelAttempts(told, after, nowMillis, effects) : told;
     }
 
     private static FleetEffect.Note note(
             Quarantine quarantine, Set<Long> group, QuarantineEntry entry, String source, long nowMillis) {
+        boolean parts = quarantine.scope() == QuarantineScope.PROMPT_PARTS;
+        String change = entry.released() ? "_released" : "_quarantined";
         return FleetEffect.Note.of(
-                entry.released() ? "prompt_parts_released" : "prompt_parts_quarantined",
-                "prompt_parts",
+                (parts ? "prompt_parts" : "request") + change,
+                parts ? "prompt_parts" : "fingerprint",
                 QuarantineGate.format(group),
                 "learned_from",
                 source,
@@ -184,23 +229,28 @@
     }
 
     /** Ends attempts that wait for the first byte of their answers, so that they crash no further engine. */
-    private FleetState cancelAttempts(FleetState state, long nowMillis, List<FleetEffect> effects) {
+    private FleetState cancelAttempts(
+            FleetState state, Quarantine quarantine, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
         for (FleetRequest request : state.requests().values()) {
             boolean waits = request.phase() instanceof RequestPhase.Running running && !running.streaming();
-            if (waits
-                    && !state.quarantine()
-                            .findGroups(QuarantineGate.sharedParts(request.call()))
-                            .isEmpty()) {
-                next = cancelAttempt(next, request, (RequestPhase.Running) request.phase(), effects);
+            List<Long> ids = QuarantineGate.ids(quarantine.scope(), request.call());
+            if (waits && !quarantine.findGroups(ids).isEmpty()) {
+                next = cancelAttempt(
+                        next, request, (RequestPhase.Running) request.phase(), quarantine.scope(), effects);
             }
         }
         return next;
     }
 
     private FleetState cancelAttempt(
-            FleetState state, FleetRequest request, RequestPhase.Running running, List<FleetEffect> effects) {
-        String reason = "prompt parts quarantined during the attempt at " + running.target();
+            FleetState state,
+            FleetRequest request,
+            RequestPhase.Running running,
+            QuarantineScope scope,
+            List<FleetEffect> effects) {
+        String subject = scope == QuarantineScope.REQUESTS ? "request" : "prompt parts";
+        String reason = subject + " quarantined during the attempt at " + running.target();
         FleetState released = DispatchFlow.releaseAttempt(state, running);
         effects.add(new FleetEffect.CancelAttempt(running.attempt()));
         if (request.callerLeft()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineGate.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/QuarantineGate.java
@@ -4,11 +4,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.logic.quarantine.QuarantineEntry;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.PromptPart;
+import org.jackdawbeam.model.fleet.QuarantineScope;
+import org.jackdawbeam.model.refusal.RefusalCode;
 
-/** Decides whether a request may be sent although its prompt may contain quarantined parts. */
+/** Decides whether a request may be sent although it, or parts of its prompt, may be quarantined. */
 final class QuarantineGate {
     private static final long MIN_RETRY_MILLIS = 1_000; // no trial ends sooner
 
@@ -20,8 +23,22 @@
      */
     record Result(FleetState state, Optional<Blocked> blocked) {}
 
-    /** A request that must not be sent, with the time until the next trial of its parts. */
-    record Blocked(String parts, long retryAfterMillis) {}
+    /** A request that must not be sent, with the time until the next trial. */
+    record Blocked(QuarantineScope scope, String ids, long retryAfterMillis) {
+        RefusalCode code() {
+            return switch (scope) {
+                case PROMPT_PARTS -> RefusalCode.PROMPT_QUARANTINED;
+                case REQUESTS -> RefusalCode.REQUEST_QUARANTINED;
+            };
+        }
+
+        String reason() {
+            return switch (scope) {
+                case PROMPT_PARTS -> "quarantined prompt parts " + ids;
+                case REQUESTS -> "quarantined request, fingerprint " + ids;
+            };
+        }
+    }
 
     private QuarantineGate() {}
 
@@ -34,7 +51,15 @@
                 .toList();
     }
 
-    /** Checks a request, and makes it the trial of its quarantined parts if one is due at this entry. */
+    /** Returns the ids under which a request can be quarantined. */
+    static List<Long> ids(QuarantineScope scope, CallerRequest call) {
+        return switch (scope) {
+            case PROMPT_PARTS -> sharedParts(call);
+            case REQUESTS -> List.of(call.fingerprint());
+        };
+    }
+
+    /** Checks a request, and makes it the trial of what is quarantined of it if one is due at this entry. */
     static Result check(
             FleetState state,
             CallerRequest call,
@@ -42,12 +67,34 @@
             boolean firstAttempt,
             long nowMillis,
             List<FleetEffect> effects) {
-        List<Set<Long>> groups = state.quarantine().findGroups(sharedParts(call));
+        Result result = check(state, QuarantineScope.REQUESTS, call, requestId, firstAttempt, nowMillis, effects);
+        return result.blocked().isPresent()
+                ? result
+                : check(
+                        result.state(),
+                        QuarantineScope.PROMPT_PARTS,
+                        call,
+                        requestId,
+                        firstAttempt,
+                        nowMillis,
+                        effects);
+    }
+
+    private static Result check(
+            FleetState state,
+            QuarantineScope scope,
+            CallerRequest call,
+            long requestId,
+            boolean firstAttempt,
+            long nowMillis,
+            List<FleetEffect> effects) {
+        Quarantine quarantine = state.quarantine(scope);
+        List<Set<Long>> groups = quarantine.findGroups(ids(scope, call));
         if (groups.isEmpty()) {
             return new Result(state, Optional.empty());
         }
         Set<Long> group = groups.getFirst();
-        QuarantineEntry entry = state.quarantine().entries().get(group);
+        QuarantineEntry entry = quarantine.entries().get(group);
         boolean single = groups.size() == 1 && firstAttempt;
         boolean isTrial =
                 entry.trialRequest().isPresent() && entry.trialRequest().getAsLong() == requestId;
@@ -56,12 +103,17 @@
         }
         boolean trialDue = nowMillis >= entry.nextTrialAtMillis();
         if (single && trialDue && QuotaFlow.isFirst(state, format(group), nowMillis)) {
+            boolean parts = scope == QuarantineScope.PROMPT_PARTS;
             effects.add(FleetEffect.Note.of(
-                    "prompt_parts_trial", "request", call.callerRequestId(), "prompt_parts", format(group)));
-            return new Result(state.with(state.quarantine().withTrial(group, requestId, nowMillis)), Optional.empty());
+                    parts ? "prompt_parts_trial" : "request_trial",
+                    "request",
+                    call.callerRequestId(),
+                    parts ? "prompt_parts" : "fingerprint",
+                    format(group)));
+            return new Result(state.with(quarantine.withTrial(group, requestId, nowMillis)), Optional.empty());
         }
         long retryAfterMillis = Math.max(MIN_RETRY_MILLIS, entry.nextTrialAtMillis() - nowMillis);
-        return new Result(state, Optional.of(new Blocked(format(group), retryAfterMillis)));
+        return new Result(state, Optional.of(new Blocked(scope, format(group), retryAfterMillis)));
     }
 
     /** Returns the ids of a group in hexadecimal, in ascending order, joined by plus signs. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -94,8 +94,8 @@
         QuarantineGate.Result gate = QuarantineGate.check(state, call, request.id(), true, event.nowMillis(), effects);
         if (gate.blocked().isPresent()) {
             QuarantineGate.Blocked blocked = gate.blocked().get();
-            Refusal refusal = Refusal.notRun(RefusalCode.PROMPT_QUARANTINED, blocked.retryAfterMillis());
-            return refuse(state, event, refusal, "quarantined prompt parts " + blocked.parts(), effects);
+            Refusal refusal = Refusal.notRun(blocked.code(), blocked.retryAfterMillis());
+            return refuse(state, event, refusal, blocked.reason(), effects);
         }
         FleetState credited = AttemptFlow.creditRetries(gate.state(), service, event.nowMillis());
         FleetState counted = dispatch.countDemand(credited, request, event.nowMillis());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -15,18 +15,22 @@
 import org.jackdawbeam.model.fleet.QuarantineReport.EngineLoss;
 import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
 import org.jackdawbeam.model.fleet.QuarantineReport.Suspect;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
- * Prompt parts that may crash engines: the evidence, and the groups of parts that are quarantined. Immutable.
+ * Prompt parts that may crash engines: the evidence, and the groups of parts that are quarantined. Immutable. In the
+ * quarantine of requests, the fingerprint of a request stands for its only part.
  *
+ * @param scope what the parts stand for
  * @param losses recent losses of engines under requests that waited for their answers
  * @param touchedAtMillis when a loss last changed
  * @param entries quarantined and recently released groups, by their part ids
  * @param answeredAtMillis when an engine last began to answer a part, for parts that were answered recently
  */
 public record Quarantine(
+        QuarantineScope scope,
         PMap<Incarnation, LostEngine> losses,
         PMap<Incarnation, Long> touchedAtMillis,
         PMap<Set<Long>, QuarantineEntry> entries,
@@ -38,17 +42,17 @@
     private static final int MAX_PARTS_OF_A_PROMPT = 64;
     private static final int MAX_REPORTED_PARTS = 1_000; // about ten kilobytes of a heartbeat
     private static final int MAX_ANSWERED_PARTS = 4_096;
-    /** How long an answer clears its parts in advance, so that parts in constant use are not suspected. */
-    private static final long CLEARANCE_MILLIS = 1_000;
     /** How often a change is repeated in heartbeats, in case one is lost. */
     private static final long REPEAT_MILLIS = 2_000;
 
-    private static final Quarantine EMPTY =
-            new Quarantine(HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
-
     /** Returns a quarantine without evidence. */
-    public static Quarantine empty() {
-        return EMPTY;
+    public static Quarantine empty(QuarantineScope scope) {
+        return new Quarantine(
+                scope, HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
+    }
+
+    private QuarantinePolicy policy() {
+        return QuarantinePolicy.of(scope);
     }
 
     /** Records that a request lost its engine before the first byte of its answer. */
@@ -56,7 +60,7 @@
         LostEngine known = losses.getOrDefault(engine, LostEngine.at(nowMillis));
         List<Long> suspected = parts.stream().limit(MAX_PARTS_OF_A_PROMPT).toList();
         LostEngine changed = known.withSuspect(request, new SuspectRequest(sentAtMillis, suspected))
-                .withCleared(answeredSince(parts, known.atMillis() - CLEARANCE_MILLIS));
+                .withCleared(answeredSince(parts, known.atMillis() - policy().clearanceMillis()));
         return with(engine, changed, nowMillis);
     }
 
@@ -73,7 +77,7 @@
 
     /** Adds a group that was quarantined before this entry started; its next trial is not due sooner than usual. */
     public Quarantine withStored(Set<Long> group, int trials, long nowMillis) {
-        QuarantineEntry stored = QuarantineEntry.quarantined(trials, nowMillis);
+        QuarantineEntry stored = QuarantineEntry.quarantined(policy(), trials, nowMillis);
         QuarantineEntry known = entries.get(group);
         boolean news = !group.isEmpty() && (known == null || stored.isNewerThan(known));
         return news ? with(group, stored) : this;
@@ -87,7 +91,7 @@
 
     /** Marks one request as the trial of a group; the next trial is due later. */
     public Quarantine withTrial(Set<Long> group, long request, long nowMillis) {
-        return with(group, entries.get(group).withTrial(request, nowMillis));
+        return with(group, entries.get(group).withTrial(policy(), request, nowMillis));
     }
 
     /** Returns the quarantine after merging what another entry knows. */
@@ -105,10 +109,10 @@
     /** Returns the quarantine with the groups that the evidence now requires. */
     public Quarantine withNewGroups(long nowMillis) {
         Quarantine next = this;
-        Optional<Set<Long>> found = QuarantineRule.findGroup(next.losses.values(), next.activeGroups());
+        Optional<Set<Long>> found = QuarantineRule.findGroup(policy(), next.losses.values(), next.activeGroups());
         for (int added = 0; found.isPresent() && added < MAX_ENTRIES; added++) {
             next = next.withQuarantined(found.get(), 0, nowMillis);
-            found = QuarantineRule.findGroup(next.losses.values(), next.activeGroups());
+            found = QuarantineRule.findGroup(policy(), next.losses.values(), next.activeGroups());
         }
         return next;
     }
@@ -149,7 +153,7 @@
     /** Returns how many engines were lost one after the other under the most suspicious of the parts. */
     public int countLosses(List<Long> parts) {
         return parts.stream()
-                .mapToInt(part -> QuarantineRule.countLosses(losses.values().stream(), part))
+                .mapToInt(part -> QuarantineRule.countLosses(policy(), losses.values().stream(), part))
                 .max()
                 .orElse(0);
     }
@@ -198,12 +202,13 @@
         List<QuarantinedParts> quarantined = entries.entrySet().stream()
                 .filter(entry -> entry.getValue().changedAtMillis() >= earliest)
                 .map(entry -> new QuarantinedParts(
+                        scope,
                         List.copyOf(new TreeSet<>(entry.getKey())),
                         entry.getValue().trials(),
                         entry.getValue().released(),
                         entry.getValue().nextTrialAtMillis() - nowMillis))
                 .toList();
-        return new QuarantineReport(List.copyOf(lost), quarantined);
+        return new QuarantineReport(List.copyOf(lost), quarantined, Optional.empty());
     }
 
     private List<Map.Entry<Incarnation, LostEngine>> newestFirst() {
@@ -240,7 +245,7 @@
                 merged = merged.withSuspect(
                         suspect.request(), new SuspectRequest(atMillis - suspect.waitedMillis(), suspect.parts()));
             }
-            merged = merged.withCleared(answeredSince(suspect.parts(), known.atMillis() - CLEARANCE_MILLIS));
+            merged = merged.withCleared(answeredSince(suspect.parts(), known.atMillis() - policy().clearanceMillis()));
         }
         return merged.equals(losses.get(engine)) ? this : with(engine, merged, nowMillis);
     }
@@ -282,14 +287,14 @@
         PMap<Long, Long> answered = answeredAtMillis;
         if (answered.size() >= MAX_ANSWERED_PARTS) {
             Map<Long, Long> recent = answered.entrySet().stream()
-                    .filter(part -> nowMillis - part.getValue() < CLEARANCE_MILLIS)
+                    .filter(part -> nowMillis - part.getValue() < policy().clearanceMillis())
                     .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
             answered = HashTreePMap.from(recent.size() < MAX_ANSWERED_PARTS ? recent : Map.of());
         }
         for (long part : parts) {
             answered = answered.plus(part, nowMillis);
         }
-        return new Quarantine(losses, touchedAtMillis, entries, answered);
+        return new Quarantine(scope, losses, touchedAtMillis, entries, answered);
     }
 
     private Set<Long> answeredSince(Collection<Long> parts, long sinceMillis) {
@@ -314,7 +319,7 @@
             return this;
         }
         int next = known == null ? trials : Math.max(trials, known.trials() + 1);
-        return with(key, QuarantineEntry.quarantined(next, nowMillis));
+        return with(key, QuarantineEntry.quarantined(policy(), next, nowMillis));
     }
 
     private Quarantine with(Set<Long> group, QuarantineEntry entry) {
@@ -341,6 +346,7 @@
             room = without(oldest);
         }
         return new Quarantine(
+                scope,
                 room.losses.plus(engine, loss),
                 room.touchedAtMillis.plus(engine, nowMillis),
                 entries,
@@ -348,10 +354,10 @@
     }
 
     private Quarantine without(Incarnation engine) {
-        return new Quarantine(losses.minus(engine), touchedAtMillis.minus(engine), entries, answeredAtMillis);
+        return new Quarantine(scope, losses.minus(engine), touchedAtMillis.minus(engine), entries, answeredAtMillis);
     }
 
     private Quarantine withEntries(PMap<Set<Long>, QuarantineEntry> changed) {
-        return new Quarantine(losses, touchedAtMillis, changed, answeredAtMillis);
+        return new Quarantine(scope, losses, touchedAtMillis, changed, answeredAtMillis);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineEntry.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineEntry.java
@@ -3,7 +3,7 @@
 import java.util.OptionalLong;
 
 /**
- * Quarantine of a group of prompt parts.
+ * Quarantine of a group of prompt parts or of a request.
  *
  * @param trials number of trials that have been started
  * @param released whether the group may be used again; kept for a while so that older reports have no effect
@@ -13,13 +13,12 @@
  */
 public record QuarantineEntry(
         int trials, boolean released, long changedAtMillis, long nextTrialAtMillis, OptionalLong trialRequest) {
-    private static final long FIRST_TRIAL_MILLIS = 30_000; // several restarts of an engine
-    private static final int MAX_DOUBLINGS = 6; // half an hour
+    private static final int MAX_DOUBLINGS = 6;
 
     /** Returns the entry of a group that is quarantined anew. */
-    static QuarantineEntry quarantined(int trials, long nowMillis) {
+    static QuarantineEntry quarantined(QuarantinePolicy policy, int trials, long nowMillis) {
         return new QuarantineEntry(
-                trials, false, nowMillis, nowMillis + trialDelayMillis(trials), OptionalLong.empty());
+                trials, false, nowMillis, nowMillis + trialDelayMillis(policy, trials), OptionalLong.empty());
     }
 
     QuarantineEntry release(long nowMillis) {
@@ -30,16 +29,16 @@
         return new QuarantineEntry(trials, released, nowMillis, nextTrialAtMillis, trialRequest);
     }
 
-    QuarantineEntry withTrial(long request, long nowMillis) {
-        return new QuarantineEntry(
-                trials + 1, false, nowMillis, nowMillis + trialDelayMillis(trials + 1), OptionalLong.of(request));
+    QuarantineEntry withTrial(QuarantinePolicy policy, long request, long nowMillis) {
+        long nextTrialAt = nowMillis + trialDelayMillis(policy, trials + 1);
+        return new QuarantineEntry(trials + 1, false, nowMillis, nextTrialAt, OptionalLong.of(request));
     }
 
     boolean isNewerThan(QuarantineEntry other) {
         return trials > other.trials || trials == other.trials && released && !other.released;
     }
 
-    private static long trialDelayMillis(int trials) {
-        return FIRST_TRIAL_MILLIS << Math.min(Math.max(0, trials), MAX_DOUBLINGS);
+    private static long trialDelayMillis(QuarantinePolicy policy, int trials) {
+        return policy.firstTrialMillis() << Math.min(Math.max(0, trials), MAX_DOUBLINGS);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantineRule.java
@@ -11,36 +11,39 @@
 import java.util.stream.Stream;
 
 /**
- * Decides which groups of prompt parts have crashed engines.
+ * Decides which groups of prompt parts, or which requests, have crashed engines.
  *
  * <p>A part is guilty if engines were lost one after the other under different requests with it, and no engine has
  * answered it since. Losses count one after the other if the later request was sent after the earlier loss: engines
  * that end together, as in an outage, count once. Parts that were always lost together cannot be told apart; they form
  * a group that affects only requests with all of them.
+ *
+ * <p>For requests, the only part is the fingerprint of the whole request, and each of several engines that were lost
+ * together counts.
  */
 final class QuarantineRule {
     private static final int REQUIRED_LOSSES = 3; // two engines in a row are lost by chance while others crash
-    private static final int REQUIRED_REQUESTS = 2; // one request proves nothing about parts that it shares
 
     private QuarantineRule() {}
 
     /** Returns a group that explains losses which no known group explains. */
-    static Optional<Set<Long>> findGroup(Collection<LostEngine> losses, Collection<Set<Long>> knownGroups) {
+    static Optional<Set<Long>> findGroup(
+            QuarantinePolicy policy, Collection<LostEngine> losses, Collection<Set<Long>> knownGroups) {
         List<LostEngine> unexplained = losses.stream()
                 .filter(loss -> knownGroups.stream().noneMatch(loss::isExplainedBy))
                 .sorted(Comparator.comparingLong(LostEngine::atMillis))
                 .toList();
-        return findNarrowedGroup(unexplained, knownGroups).or(() -> findNewGroup(unexplained));
+        return findNarrowedGroup(unexplained, knownGroups).or(() -> findNewGroup(policy, unexplained));
     }
 
-    /** Returns how many engines were lost one after the other under requests with the part. */
-    static int countLosses(Stream<LostEngine> losses, long part) {
+    /** Returns how many engines were lost under requests with the part, one after the other if the policy says so. */
+    static int countLosses(QuarantinePolicy policy, Stream<LostEngine> losses, long part) {
         List<LostEngine> ordered =
                 losses.sorted(Comparator.comparingLong(LostEngine::atMillis)).toList();
         int count = 0;
         long latestLossMillis = Long.MIN_VALUE;
         for (LostEngine loss : ordered) {
-            long earliest = latestLossMillis;
+            long earliest = policy.successiveLosses() ? latestLossMillis : Long.MIN_VALUE;
             if (loss.suspectsWith(part).anyMatch(suspect -> suspect.sentAtMillis() >= earliest)) {
                 count++;
                 latestLossMillis = loss.atMillis();
@@ -66,7 +69,7 @@
         return Optional.empty();
     }
 
-    private static Optional<Set<Long>> findNewGroup(List<LostEngine> unexplained) {
+    private static Optional<Set<Long>> findNewGroup(QuarantinePolicy policy, List<LostEngine> unexplained) {
         Map<Long, Integer> lossesByPart = new TreeMap<>();
         unexplained.forEach(loss -> loss.suspectedParts().forEach(part -> lossesByPart.merge(part, 1, Integer::sum)));
         int highest = REQUIRED_LOSSES - 1;
@@ -76,8 +79,8 @@
                 continue;
             }
             long part = candidate.getKey();
-            int count = countLosses(unexplained.stream(), part);
-            if (count > highest && countRequests(unexplained, part) >= REQUIRED_REQUESTS) {
+            int count = countLosses(policy, unexplained.stream(), part);
+            if (count > highest && countRequests(unexplained, part) >= policy.requiredRequests()) {
                 highest = count;
                 found = Optional.of(companions(unexplained, part));
             }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/RefusalWriter.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/caller/RefusalWriter.java
@@ -75,6 +75,7 @@
             case HOST_ISOLATED -> "this host has lost contact; use another one";
             case PLATFORM_LOG_UNAVAILABLE -> "the platform's log cannot be reached";
             case PROMPT_QUARANTINED -> "engines have crashed under a part of the prompt";
+            case REQUEST_QUARANTINED -> "targets have crashed under the same request";
             case TARGET_FAILED -> "the target failed";
             case OUTCOME_UNKNOWN -> "a target may have executed the request";
             case DEADLINE_EXCEEDED -> "no target could answer before the deadline";
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -38,6 +38,7 @@
     private final Gauge placementDuty;
     private final Gauge peers;
     private final Gauge quarantinedParts;
+    private final Gauge quarantinedRequests;
     private final Gauge limitedTargets;
     private final Gauge suspectedLosses;
     private final Gauge waitingModels;
@@ -66,6 +67,8 @@
         this.peers = gauge("jackdawbeam_peers", "Other entries that are known.");
         this.quarantinedParts =
                 gauge("jackdawbeam_quarantined_parts", "Groups of prompt parts that are not sent to engines.");
+        this.quarantinedRequests =
+                gauge("jackdawbeam_quarantined_requests", "Requests that are not sent to engines or services.");
         this.limitedTargets = gauge("jackdawbeam_limited_targets", "Targets that limit the requests of all entries.");
         this.suspectedLosses = gauge(
                 "jackdawbeam_suspected_losses", "Recent losses of engines under requests that waited for answers.");
@@ -112,10 +115,11 @@
                 placementDuty.set(state.leadership().fencingToken().isPresent() ? 1 : 0);
                 peers.set(state.peers().size());
                 quarantinedParts.set(state.quarantine().activeGroups().size());
+                quarantinedRequests.set(state.requestQuarantine().activeGroups().size());
                 limitedTargets.set(state.targets().values().stream()
                         .filter(target -> target.limit().isPresent())
                         .count());
-                suspectedLosses.set(state.quarantine().losses().size());
+                suspectedLosses.set(state.requestQuarantine().losses().size());
                 waitingModels.set(state.modelWaits().byModel().size());
                 longestModelWait.set(state.modelWaits().longestMillis(ticked.nowMillis()) / MILLIS_PER_SECOND);
             }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FeedEntry;
@@ -45,7 +46,7 @@
     final Map<String, Outcome> outcomes = new TreeMap<>();
     final Set<Long> crashingParts = new HashSet<>();
     final Set<Long> crashingRequests = new HashSet<>();
-    private final Map<Set<Long>, QuarantinedParts> stored = new HashMap<>();
+    private final Map<QuarantinedGroup, QuarantinedParts> stored = new HashMap<>();
     private final FleetReducer reducer = new FleetReducer();
     private final Map<String, FleetState> states = new TreeMap<>();
     private final Map<String, String> idByAddress = new HashMap<>();
@@ -245,11 +246,11 @@
 
     /** Returns the ids of what the store holds as quarantined. */
     Set<Set<Long>> stored() {
-        return stored.keySet();
+        return stored.keySet().stream().map(QuarantinedGroup::ids).collect(Collectors.toSet());
     }
 
     long refusedAsQuarantined(boolean crashing) {
-        return refused(crashing, RefusalCode.PROMPT_QUARANTINED);
+        return refused(crashing, RefusalCode.PROMPT_QUARANTINED) + refused(crashing, RefusalCode.REQUEST_QUARANTINED);
     }
 
     private long refused(boolean crashing, RefusalCode code) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.QuarantineReport;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.jackdawbeam.model.refusal.ExecutionStatus;
 import org.jackdawbeam.model.refusal.RefusalCode;
 import org.jackdawbeam.model.request.AttemptFailure;
@@ -14,8 +15,12 @@
 
 class QuarantineFlowTest {
     private static final long BAD = 0xbad;
+    private static final QuarantinedGroup BAD_GROUP = new QuarantinedGroup(QuarantineScope.PROMPT_PARTS, Set.of(BAD));
     private static final QuarantineReport BAD_IS_QUARANTINED = new QuarantineReport(
-            List.of(), List.of(new QuarantineReport.QuarantinedParts(List.of(BAD), 0, false, 30_000)));
+            List.of(),
+            List.of(new QuarantineReport.QuarantinedParts(
+                    QuarantineScope.PROMPT_PARTS, List.of(BAD), 0, false, 30_000)),
+            Optional.empty());
 
     private final FleetFixture fixture = FleetFixture.serving(
             FleetFixture.engine("e1", "m1"),
@@ -144,7 +149,7 @@
     void releaseByAnOperatorIsToldToThePeers() {
         hear("b", BAD_IS_QUARANTINED);
 
-        fixture.apply(new FleetEvent.ReleaseRequested(fixture.nowMillis, Set.of(BAD)));
+        fixture.apply(new FleetEvent.ReleaseRequested(fixture.nowMillis, BAD_GROUP));
         fixture.advance(50);
 
         assertThat(fixture.all(FleetEffect.SendPeerMessage.class))
@@ -164,7 +169,7 @@
     void groupReleasedByAnotherEntryIsRemovedFromTheStore() {
         hear("b", BAD_IS_QUARANTINED);
         fixture.state = fixture.state.withPeers(fixture.state.peers().minus("b"));
-        fixture.apply(new FleetEvent.ReleaseRequested(fixture.nowMillis, Set.of(BAD)));
+        fixture.apply(new FleetEvent.ReleaseRequested(fixture.nowMillis, BAD_GROUP));
 
         fixture.advance(50);
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 import org.jackdawbeam.model.fleet.QuarantineReport;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.jackdawbeam.net.codec.MessageMapper;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +19,7 @@
     private static final long BAD = 2;
     private static final long NOW = 1_000_000;
 
-    private Quarantine quarantine = Quarantine.empty();
+    private Quarantine quarantine = Quarantine.empty(QuarantineScope.PROMPT_PARTS);
 
     private static Incarnation engine(int number) {
         return new Incarnation("e" + number, 7);
@@ -149,7 +150,7 @@
     void mergingIsIndependentOfOrderAndRepetition() {
         List<QuarantineReport> reports = new ArrayList<>();
         for (int number = 1; number <= 5; number++) {
-            Quarantine other = Quarantine.empty()
+            Quarantine other = Quarantine.empty(QuarantineScope.PROMPT_PARTS)
                     .withLoss(
                             engine(number),
                             10 + number,
@@ -166,7 +167,7 @@
 
         for (int seed = 0; seed < 20; seed++) {
             Collections.shuffle(reports, new Random(seed));
-            Quarantine merged = Quarantine.empty();
+            Quarantine merged = Quarantine.empty(QuarantineScope.PROMPT_PARTS);
             for (QuarantineReport report : reports) {
                 merged = merged.merge(report, NOW + 6_000);
             }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
@@ -16,6 +16,7 @@
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.QuarantineReport;
+import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.jackdawbeam.model.log.LogRecord;
 import org.jackdawbeam.model.member.Epoch;
 import org.jackdawbeam.model.member.Member;
@@ -81,7 +82,9 @@
                         false,
                         List.of(new QuarantineReport.Suspect(1, 50, List.of(2L, -3L))),
                         Set.of(4L))),
-                List.of(new QuarantineReport.QuarantinedParts(List.of(5L), 1, false, 30_000)));
+                List.of(new QuarantineReport.QuarantinedParts(
+                        QuarantineScope.PROMPT_PARTS, List.of(5L), 1, false, 30_000)),
+                Optional.empty());
         FleetMessage heartbeat = heartbeat(Optional.of(report));
         MessageMapper mapper = MessageMapper.messagePack();
 
