A failing service clears no request of the suspicion that it crashes targets

Answers of services cleared a request whatever their status; a target that fails requests while its health check is good answers 500 without having run them, so that the evidence of earlier crashes was lost. Only an answer below 500 clears now. Test: QuarantineFlowTest.onlyAnAnswerWithoutAnErrorClearsARequestToAService (before, a relayed 500 was recorded as an answer).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -83,10 +83,11 @@
                     updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
-        // A service answers when it has finished; an engine may still crash when only the head of a stream has come.
-        FleetState recorded = request.route().kind() == RouteKind.STREAMING
-                ? updated
-                : recordAnswer(updated, request, (RequestPhase.Running) request.phase(), event.nowMillis(), effects);
+        // A target may fail a request without running it, and may still crash when only the head of a stream has come.
+        boolean finished = request.route().kind() != RouteKind.STREAMING && event.status() < FIRST_SERVER_ERROR;
+        FleetState recorded = finished
+                ? recordAnswer(updated, request, (RequestPhase.Running) request.phase(), event.nowMillis(), effects)
+                : updated;
         return recorded.with(request.withAnswerStarted(new RequestPhase.Running(event.attempt(), id, true, false)));
     }
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/QuarantineFlowTest.java
@@ -213,4 +213,18 @@
                 .allMatch(
                         message -> ((FleetMessage.Digest) message).quarantine().isEmpty());
     }
+
+    // Guards against a failing service that clears a request which it has not run.
+    @Test
+    void onlyAnAnswerWithoutAnErrorClearsARequestToAService() {
+        FleetFixture services = FleetFixture.serving(FleetFixture.service("s1"));
+        services.call("pay");
+        services.answer(services.only(FleetEffect.StartAttempt.class).attempt(), 500, false);
+        long answered = services.call("pay");
+
+        services.answer(services.only(FleetEffect.StartAttempt.class).attempt(), 200, false);
+
+        assertThat(services.state.quarantine(QuarantineScope.REQUESTS).answeredAtMillis())
+                .containsOnlyKeys(answered);
+    }
 }
