--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantinePolicy.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/QuarantinePolicy.java
@@ -11,15 +11,19 @@
  * @param firstTrialMillis time until the first trial
  */
 record QuarantinePolicy(int requiredRequests, boolean successiveLosses, long clearanceMillis, long firstTrialMillis) {
-    private static final QuarantinePolicy PROMPT_PARTS = new QuarantinePolicy(
-            2, // one request proves nothing about parts that it shares
-            true, // many requests with a popular part are lost together in an outage
-            1_000, 30_000); // several restarts of an engine
+    private static final int REQUESTS_WITH_A_PART = 2; // one request proves nothing about parts that it shares
+    private static final long PART_CLEARANCE_MILLIS = 1_000; // parts in use are answered many times a second
+    private static final long FIRST_TRIAL_OF_PARTS_MILLIS = 30_000; // several restarts of an engine
+    private static final long REQUEST_CLEARANCE_MILLIS = 10_000; // one request is repeated less often than its parts
+    /** A quarantined request is missed by one caller, and each trial may end an engine. */
+    private static final long FIRST_TRIAL_OF_A_REQUEST_MILLIS = 600_000;
 
-    private static final QuarantinePolicy REQUESTS = new QuarantinePolicy(
-            1, false, // copies of one request are rarely at several engines, unless it crashes them and is sent again
-            10_000, // the same request is not answered as often as one with the same part
-            600_000); // a single request is missed by one caller, and each trial may end an engine
+    private static final QuarantinePolicy PROMPT_PARTS =
+            new QuarantinePolicy(REQUESTS_WITH_A_PART, true, PART_CLEARANCE_MILLIS, FIRST_TRIAL_OF_PARTS_MILLIS);
+
+    /** Losses at the same moment count, as copies of one request are rarely at several engines by chance. */
+    private static final QuarantinePolicy REQUESTS =
+            new QuarantinePolicy(1, false, REQUEST_CLEARANCE_MILLIS, FIRST_TRIAL_OF_A_REQUEST_MILLIS);
 
     static QuarantinePolicy of(QuarantineScope scope) {
         return switch (scope) {
