--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -19,7 +19,6 @@
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.PromptPart;
 import org.jackdawbeam.model.fleet.QuarantineReport.QuarantinedParts;
-import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetStatement;
 import org.jackdawbeam.model.refusal.Refusal;
 import org.jackdawbeam.model.refusal.RefusalCode;
@@ -57,7 +56,6 @@
     private final PriorityQueue<Timed> queue =
             new PriorityQueue<>(Comparator.comparingLong(Timed::atMillis).thenComparingLong(Timed::number));
     private final Random random;
-    private final int engines;
     private final List<FleetMember> members = new ArrayList<>();
     private double messageLossProbability;
     private long nowMillis = 100_000;
@@ -75,7 +73,6 @@
 
     CrashingPromptFleet(int entries, int zones, int engines, long seed) {
         this.random = new Random(seed);
-        this.engines = engines;
         for (int number = 0; number < entries; number++) {
             String id = String.format("m%02d", number);
             int link = number < 2 * zones ? 200 : 10;
@@ -83,10 +80,10 @@
         }
         members.forEach(member -> idByAddress.put(member.peerAddress(), member.id()));
         for (int number = 0; number < engines; number++) {
-            startedAtByEngine.put(engineId(number), 7L);
+            startedAtByEngine.put(CrashingTargets.engineId(number), 7L);
         }
         for (int number = 0; number < SERVICE_COPIES; number++) {
-            startedAtByEngine.put(serviceId(number), 7L);
+            startedAtByEngine.put(CrashingTargets.serviceId(number), 7L);
         }
         members.forEach(this::start);
         after(TICK_MILLIS, this::tick);
@@ -205,15 +202,11 @@
 
     /** Ends an engine for a reason that no request has caused. */
     void crash(int engine) {
-        crash(engineId(engine));
+        crash(CrashingTargets.engineId(engine));
     }
 
     void crashService(int copy) {
-        crash(serviceId(copy));
-    }
-
-    int engines() {
-        return engines;
+        crash(CrashingTargets.serviceId(copy));
     }
 
     int randomNumber(int bound) {
@@ -226,10 +219,10 @@
 
     /** Resets one connection of an engine that goes on running. */
     void resetOneConnection(int engine) {
-        runningByEngine.getOrDefault(engineId(engine), Set.of()).stream()
+        runningByEngine.getOrDefault(CrashingTargets.engineId(engine), Set.of()).stream()
                 .min(Comparator.comparing(Running::request))
                 .ifPresent(running -> {
-                    runningByEngine.get(engineId(engine)).remove(running);
+                    runningByEngine.get(CrashingTargets.engineId(engine)).remove(running);
                     fail(running);
                 });
     }
@@ -397,30 +390,7 @@
     private FeedEntry[] listedEngines() {
         return startedAtByEngine.entrySet().stream()
                 .filter(engine -> !crashed.contains(engine.getKey()))
-                .map(engine -> new FeedEntry.Target(new TargetDescription(
-                        engine.getKey(),
-                        isService(engine.getKey()) ? "payments" : "engines",
-                        (isService(engine.getKey()) ? "10.0.0.2:" : "10.0.0.1:")
-                                + engine.getKey().substring(1),
-                        "zone-0",
-                        64,
-                        false,
-                        isService(engine.getKey()) ? Set.of() : Set.of("m1"),
-                        Set.of(),
-                        engine.getValue(),
-                        0)))
+                .map(engine -> CrashingTargets.listed(engine.getKey(), engine.getValue()))
                 .toArray(FeedEntry[]::new);
     }
-
-    private static String engineId(int number) {
-        return "e" + (10 + number);
-    }
-
-    private static String serviceId(int number) {
-        return "s" + (10 + number);
-    }
-
-    private static boolean isService(String target) {
-        return target.startsWith("s");
-    }
 }
