A request is also what its model and the parts of its prompt are

Not load: the same on an idle machine follows from the code. The fingerprint now covers model and prompt parts too.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/RequestFingerprint.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/RequestFingerprint.java
@@ -8,9 +8,9 @@
 import org.jackdawbeam.model.error.JackdawbeamException;
 
 /**
- * Recognizes a request that a caller sends again. Requests with the same method, path, query, key and body have the
- * same fingerprint. It is a cryptographic digest, so that a caller cannot choose a body that passes for another's
- * request.
+ * Recognizes a request that a caller sends again. Requests with the same method, path, query, key, model, prompt parts
+ * and body have the same fingerprint. It is a cryptographic digest, so that a caller cannot choose a body that passes
+ * for another's request.
  */
 public final class RequestFingerprint {
     private static final String ALGORITHM = "SHA-256";
@@ -22,12 +22,16 @@
      *
      * @param uri path and query
      * @param key key of the caller, if it sent one
+     * @param model model and adapter as the caller named them, empty if it named none
+     * @param prompt parts of the prompt as the caller listed them, empty if it listed none
      */
-    public static long of(String method, String uri, Optional<String> key, byte[] body) {
+    public static long of(String method, String uri, Optional<String> key, String model, String prompt, byte[] body) {
         MessageDigest digest = digest();
         update(digest, method.getBytes(StandardCharsets.UTF_8));
         update(digest, uri.getBytes(StandardCharsets.UTF_8));
         update(digest, key.orElse("").getBytes(StandardCharsets.UTF_8));
+        update(digest, model.getBytes(StandardCharsets.UTF_8));
+        update(digest, prompt.getBytes(StandardCharsets.UTF_8));
         update(digest, body);
         byte[] bytes = digest.digest();
         long fingerprint = 0;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/CallerRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/CallerRequest.java
@@ -12,7 +12,7 @@
  * @param inputTokens length of the prompt in tokens; 0 if unknown
  * @param maximumOutputTokens maximum number of tokens to generate; 0 if unknown
  * @param prompt parts of the prompt, in order
- * @param fingerprint digest of what the request is: method, path with query, key and body
+ * @param fingerprint digest of what the request is: method, path with query, key, model, prompt parts and body
  */
 public record CallerRequest(
         String callerRequestId,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/RequestFingerprintTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/RequestFingerprintTest.java
@@ -10,7 +10,12 @@
     private static final Optional<String> KEY = Optional.of("key");
 
     private static long fingerprint(String method, String uri, Optional<String> key, String body) {
-        return RequestFingerprint.of(method, uri, key, body.getBytes(StandardCharsets.UTF_8));
+        return fingerprint(method, uri, key, "m1", "1:10", body);
+    }
+
+    private static long fingerprint(
+            String method, String uri, Optional<String> key, String model, String prompt, String body) {
+        return RequestFingerprint.of(method, uri, key, model, prompt, body.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
@@ -27,7 +32,9 @@
                     fingerprint("POST", "/pay/7?a=1", KEY, "body"),
                     fingerprint("POST", "/pay/7", Optional.of("other"), "body"),
                     fingerprint("POST", "/pay/7", Optional.empty(), "body"),
-                    fingerprint("POST", "/pay/7", KEY, "other")
+                    fingerprint("POST", "/pay/7", KEY, "other"),
+                    fingerprint("POST", "/pay/7", KEY, "m2", "1:10", "body"),
+                    fingerprint("POST", "/pay/7", KEY, "m1", "2:10", "body")
                 })
                 .doesNotHaveDuplicates();
     }
