--- a/review/standin/Harness.java
+++ b/review/standin/Harness.java
@@ -193,12 +193,18 @@
         final int front = freePort();
         private final int ready = freePort();
         private final int directory = freePort();
-        private final Process process;
+        private final Path settings;
+        private volatile Process process;
 
         Entry(String name) throws IOException {
             this.name = name;
-            Path settings = work.resolve(name + ".toml");
+            this.settings = work.resolve(name + ".toml");
             Files.writeString(settings, settings());
+            start();
+        }
+
+        /** Starts the process, again with the same settings if it has ended. */
+        void start() throws IOException {
             String deploy = Files.readString(root.resolve("deploy/system.toml"));
             String command = deploy.lines()
                     .filter(line -> line.startsWith("run = "))
@@ -296,6 +302,11 @@
             return process.isAlive();
         }
 
+        /** Waits for the end of the process and returns its status. */
+        int awaitEnd() throws InterruptedException {
+            return process.waitFor();
+        }
+
         boolean isReady() {
             try (Socket socket = new Socket(loopback(), ready)) {
                 socket.setSoTimeout(1_000);
