--- a/review/standin/SignalledStart.java
+++ b/review/standin/SignalledStart.java
@@ -1,3 +1,6 @@
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,6 +22,10 @@
     }
 
     private static int run(Harness harness) throws Exception {
+        if (isHangupIgnored()) {
+            harness.record("SIGHUP is ignored here, as below nohup, so that processes never get it");
+            return Harness.NOT_RUN;
+        }
         harness.configure(SERVICE, Harness.route("/puxa403/", "unsafe", 3_000, 1, SERVICE, false));
         List<Harness.Entry> entries = new ArrayList<>();
         for (int number = 1; number <= ENTRIES; number++) {
@@ -53,6 +60,12 @@
         return machines >= 2 ? Harness.BROKEN : Harness.HELD;
     }
 
+    private static boolean isHangupIgnored() throws IOException {
+        return Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(line -> line.startsWith("SigIgn:"))
+                .anyMatch(line -> (Long.parseUnsignedLong(line.substring(7).trim(), 16) & 1) != 0);
+    }
+
     private static void change(Harness harness, Harness.Entry entry) throws Exception {
         harness.record("the settings file of " + entry.name + " changes");
         if (Harness.TROUBLE) {
