BufferedHttpClientTest withdraws the permission before the connection stands

The request had been sent with a permission that was still valid, so the product was right and the test raced.

The test now holds the only thread of the event loop until the permission is gone, as a paused process would. The check is the same, and the request can no longer be sent in time by luck.

--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jackdawbeam.model.error.ErrorCode;
@@ -52,6 +53,14 @@
         assertThat(codeOfFailure(1)).isEqualTo(ErrorCode.CONNECTION_FAILED);
     }
 
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private BufferedHttpResponse send(int port) {
         return client.send(new InetSocketAddress("127.0.0.1", port), "GET", "/", Map.of(), new byte[0], 300)
                 .join();
@@ -164,9 +173,12 @@
                 HttpServer.start(group, new InetSocketAddress("127.0.0.1", 0), HttpLimits.defaults(), handler)) {
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", server.port());
             AtomicBoolean permitted = new AtomicBoolean(true);
-            var response = client.send(address, "GET", "/", Map.of(), new byte[0], 300, permitted::get);
+            CountDownLatch paused = new CountDownLatch(1);
             // As when the process is paused after it decided to send and before the connection is established.
+            group.execute(() -> awaitUninterruptibly(paused));
+            var response = client.send(address, "GET", "/", Map.of(), new byte[0], 300, permitted::get);
             permitted.set(false);
+            paused.countDown();
 
             assertThatExceptionOfType(CompletionException.class)
                     .isThrownBy(response::join)
