Only an end of input that was read completes an answer without a length

Cause: such an answer ends with its connection, Netty's decoder makes a last content of every close of the channel, and after a failed write the channel is closed without an exception.

Change: ConnectionEndGuard in front of the codec. Channels to targets and to the store allow half-closure; the event of an end of input passes to the codec and completes the answer, then the guard closes. Every other close is an exception first. Handlers stay on a connection that is closed after its answer, so that the exception does not reach the end of the pipeline. Control answers on a lost connection now fail as CONNECTION_FAILED, not as MESSAGE_MALFORMED.

The tests' caller may send 16 MiB, more than the buffers of a loopback connection.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -246,8 +246,8 @@
         end();
         request.exchange().endStream();
         context.channel().config().setAutoRead(true);
-        context.pipeline().remove(this);
         if (requestFlushed && !receivedOtherResponse) {
+            context.pipeline().remove(this);
             connections.release(address, context.channel(), idleMillis);
         } else {
             context.close();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -126,10 +128,12 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
+                                .addLast(new ConnectionEndGuard())
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(maximumResponseBytes));
                     }
@@ -220,8 +224,8 @@
                     Map.copyOf(headers),
                     ByteBufUtil.getBytes(response.content()));
             boolean reusable = complete && HttpUtil.isKeepAlive(response);
-            context.pipeline().remove(this);
             if (reusable) {
+                context.pipeline().remove(this);
                 returnToPool(address, context.channel());
             } else {
                 context.close();
@@ -241,7 +245,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            future.completeExceptionally(failure(ErrorCode.MESSAGE_MALFORMED, address));
+            boolean connectionLost = cause instanceof IOException || cause instanceof PrematureChannelClosureException;
+            ErrorCode code = connectionLost ? ErrorCode.CONNECTION_FAILED : ErrorCode.MESSAGE_MALFORMED;
+            future.completeExceptionally(failure(code, address));
             context.close();
         }
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
@@ -246,8 +246,8 @@
     }
 
     private void release(ChannelHandlerContext context) {
-        context.pipeline().remove(this);
         if (keepAlive) {
+            context.pipeline().remove(this);
             connections.release(attempt.address(), context.channel());
         } else {
             context.close();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.jackdawbeam.model.time.MonotonicClock;
+import org.jackdawbeam.net.http.ConnectionEndGuard;
 import org.jackdawbeam.net.http.IdleGuard;
 
 /**
@@ -71,12 +72,12 @@
      * @param idleMillis time for which the connection may be reused; it is closed if the time is not positive
      */
     public void release(InetSocketAddress address, Channel channel, long idleMillis) {
+        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
         if (idleMillis <= 0) {
             channel.close();
             return;
         }
         channel.attr(REUSED).set(true);
-        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
         Deque<IdleChannel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
             if (channels.size() < MAXIMUM_IDLE_PER_TARGET) {
@@ -127,10 +128,12 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new AnswerHeadLimit(), new HttpClientCodec());
+                        channel.pipeline()
+                                .addLast(new ConnectionEndGuard(), new AnswerHeadLimit(), new HttpClientCodec());
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -50,6 +50,10 @@
 @Timeout(value = 20, unit = TimeUnit.SECONDS)
 abstract class RelayHarness {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    /** More than the buffers of a loopback connection hold. */
+    static final int LONG_BODY_BYTES = 16 * 1024 * 1024;
+
+    private static final HttpLimits LIMITS = new HttpLimits(8_192, 16_384, LONG_BODY_BYTES, 10_000, 60_000);
 
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final AtomicInteger connections = new AtomicInteger();
@@ -96,7 +100,7 @@
                 },
                 (exchange, refusal) ->
                         exchange.respond(refusal.code().httpStatus(), "text/plain", new byte[0], Map.of()));
-        server = HttpServer.start(group, new InetSocketAddress(LOOPBACK, 0), HttpLimits.defaults(), relay::accept);
+        server = HttpServer.start(group, new InetSocketAddress(LOOPBACK, 0), LIMITS, relay::accept);
         FleetEffects effects = new FleetEffects(loop, null, null, relay, pool, null);
         loop.start(effect -> {
             boolean concernsRequests = effect instanceof FleetEffect.StartAttempt
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/TruncatedAnswerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/TruncatedAnswerTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.junit.jupiter.api.Test;
@@ -124,4 +125,50 @@
 
         assertThat(call("1")).startsWith("HTTP/1.1 502");
     }
+
+    // Guards against taking a failed write of the request for the end of an answer without a length.
+    @Test
+    void answerWithoutLengthIsNotCompleteWhenItsConnectionIsResetWhileTheRequestIsSent() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            send(socket, "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\n\r\npart");
+            sleep(400);
+            reset(socket);
+        });
+
+        assertThat(callWithLongBody()).contains("part").doesNotEndWith(LAST_CHUNK);
+    }
+
+    // Guards against breaking off a whole answer of a target that does not read the rest of the request.
+    @Test
+    void answerWithoutLengthIsCompleteWhenItsTargetEndsItBeforeTheRequestIsRead() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            send(socket, "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\n\r\nwhole");
+            socket.shutdownOutput();
+            sleep(1_000);
+        });
+
+        assertThat(callWithLongBody()).contains("whole").endsWith(LAST_CHUNK);
+    }
+
+    // Guards against an answer in chunks that looks whole although its last chunk or its trailers are cut off.
+    @ParameterizedTest
+    @ValueSource(strings = {"5\r\nhello\r\n0", "5\r\nhello\r\n0\r\n", "5\r\nhello\r\n0\r\nx: y\r\n", "5\r\nhello"})
+    void answerInChunksThatIsCutOffIsNotComplete(String chunks) throws Exception {
+        startWithAnswer(
+                RouteKind.UNSAFE,
+                "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n" + chunks);
+
+        assertThat(call("1")).contains("hello").doesNotEndWith(LAST_CHUNK);
+    }
+
+    /** Sends a request that is longer than the buffers of its connections, and returns all of the response. */
+    private String callWithLongBody() throws IOException {
+        try (Socket socket = new Socket(LOOPBACK, server.port())) {
+            send(
+                    socket,
+                    "POST /x HTTP/1.1\r\nhost: host\r\nid: 1\r\nconnection: close\r\ncontent-length: " + LONG_BODY_BYTES
+                            + "\r\n\r\n" + "x".repeat(LONG_BODY_BYTES));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -217,4 +218,32 @@
                             .isEqualTo(ErrorCode.MESSAGE_MALFORMED));
         }
     }
+
+    // Guards against taking a failed write of the request for the end of a response without a length.
+    @Test
+    void responseWithoutLengthFailsIfItsConnectionIsResetWhileTheRequestIsSent() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> respondPartly(listener));
+            InetSocketAddress address = new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
+            var response = client.send(address, "POST", "/", Map.of(), new byte[16 * 1024 * 1024], 3_000);
+
+            assertThatExceptionOfType(CompletionException.class)
+                    .isThrownBy(response::join)
+                    .satisfies(failure -> assertThat(((JackdawbeamException) failure.getCause()).code())
+                            .isEqualTo(ErrorCode.CONNECTION_FAILED));
+        }
+    }
+
+    /** Responds before the request has been read, without a length, and resets the connection. */
+    private static void respondPartly(ServerSocket listener) {
+        try (Socket socket = listener.accept()) {
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\npart".getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(400);
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -166,4 +166,15 @@
             results.add("failed " + failure + (mayHaveRun ? " may have run" : " not run"));
         }
     }
+
+    // Guards against taking a close by this side, as at a stop, for the end of an answer without a length.
+    @Test
+    void answerWithoutLengthIsNotCompleteIfThisSideClosesItsConnection() throws Exception {
+        Channel channel = run(false, "HTTP/1.1 200 OK\r\n\r\n{\"usage\":{\"completion_tokens\":1}}", false);
+        Thread.sleep(200);
+
+        channel.close();
+
+        assertThat(result()).startsWith("failed CONNECTION_LOST");
+    }
 }
