The grace for expired registrations counts from the return of the store

Cause: the grace exists because registrations that expire in an outage are renewed within about two seconds of the store's return. It was counted from each removal (1.9 s), for removals up to 3 s after a read had failed, and a swallowed read fails up to 0.9 s after the return. 410, deleted history, counted as a failed read. Ruled out: late reads of the list (the log shows them within 0.9 s).

Change: FeedOutage keeps the bounds of the return: the last read without an answer was sent before it, the first answer came after it. A removed target may come back until 2.4 s after the first answer and 3 s after the last unanswered read; later removals are final at once. An outage shorter than a renewal interval expires nothing. The list is read every 0.3 s meanwhile, and every 0.2 s at most after a failed read. Entries below a hub go by their reads of the configuration (they had no grace). A request that waits for a connection to a target in its grace is not sent after it.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -287,7 +287,7 @@
                 request.call().callerRequestId(),
                 target.description(),
                 request.expiresAtMillis(),
-                request.workspace().isPresent() ? FeedFlow.withdrawalsValidUntilMillis(state) : Long.MAX_VALUE,
+                sendUntilMillis(state, request, target),
                 request.workspace(),
                 late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
@@ -301,6 +301,13 @@
                 .with(request.withAttempt(new RequestPhase.Running(attempt, id, false, false)));
     }
 
+    /** Returns the time until which the key is known to be valid and the target is not known to be gone. */
+    private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target) {
+        long keyValidUntil =
+                request.workspace().isPresent() ? FeedFlow.withdrawalsValidUntilMillis(state) : Long.MAX_VALUE;
+        return Math.min(keyValidUntil, target.goneAtMillis().orElse(Long.MAX_VALUE));
+    }
+
     private static long typicalPrefillMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
         double tokens =
                 state.typicalPrefillTokens().getOrDefault(request.route().name(), (double) choice.prefillTokens());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -41,13 +41,13 @@
             effects.add(FleetEffect.Note.of("store_regained", "feed", event.feed(), "failures", before.failures()));
         }
         long nextReadAt = event.feed() == Feed.TARGETS
-                ? Math.max(event.nowMillis(), event.askedAtMillis() + FleetTimings.TARGETS_READ_INTERVAL)
+                ? Math.max(event.nowMillis(), event.askedAtMillis() + targetsReadInterval(before, event.nowMillis()))
                 : event.nowMillis();
         FleetState checked = event.feed() == Feed.CONFIGURATION ? checkConfigurationVersion(state, event) : state;
-        FeedState answered =
-                event.feed() == Feed.CONFIGURATION && checked.storeEra().configurationBehind()
-                        ? before.readSucceededButStale(event.nextOffset(), nextReadAt)
-                        : before.readSucceeded(event.askedAtMillis(), event.nextOffset(), nextReadAt);
+        FeedState answered = event.feed() == Feed.CONFIGURATION
+                        && checked.storeEra().configurationBehind()
+                ? before.readSucceededButStale(event.nowMillis(), event.nextOffset(), nextReadAt)
+                : before.readSucceeded(event.nowMillis(), event.askedAtMillis(), event.nextOffset(), nextReadAt);
         FleetState next = checked.with(event.feed(), answered);
         if (event.newest() && event.feed() == Feed.TARGETS) {
             next = removeUnlistedTargets(next, event, effects);
@@ -93,11 +93,19 @@
                             ? event.nowMillis() - before.freshAtMillis().getAsLong()
                             : "none"));
         }
-        long pause = event.historyGone() ? 0 : FleetTimings.retryPauseMillis(before.failures());
+        long longestPause =
+                event.feed() == Feed.TARGETS ? FleetTimings.MAX_TARGETS_RETRY_PAUSE : FleetTimings.MAX_RETRY_PAUSE;
+        long pause = event.historyGone() ? 0 : Math.min(longestPause, FleetTimings.retryPauseMillis(before.failures()));
         return state.with(
                 event.feed(), before.readFailed(event.nowMillis(), event.historyGone(), event.nowMillis() + pause));
     }
 
+    private static long targetsReadInterval(FeedState targets, long nowMillis) {
+        return nowMillis < targets.renewalsUntilMillis(nowMillis)
+                ? FleetTimings.RENEWAL_READ_INTERVAL
+                : FleetTimings.TARGETS_READ_INTERVAL;
+    }
+
     FleetState onAnnounced(FleetState state, FleetEvent.AnnouncementEnded event) {
         return state.with(event.accepted() ? Announcement.CONFIRMED : Announcement.PENDING);
     }
@@ -222,12 +230,23 @@
         if (target == null || target.goneAtMillis().isPresent()) {
             return state;
         }
-        boolean maybeOutage = state.feed(Feed.TARGETS).failedSince(nowMillis - FleetTimings.OUTAGE_WINDOW);
-        long goneAt = maybeOutage ? nowMillis + FleetTimings.EXPIRY_GRACE : nowMillis;
+        long goneAt = Math.max(nowMillis, renewalsUntilMillis(state, nowMillis));
         effects.add(FleetEffect.Note.of("target_removed", "target", id, "gone_in_ms", goneAt - nowMillis));
         return dropExpiredTargets(state.with(target.withGoneAt(goneAt)), nowMillis, effects);
     }
 
+    /**
+     * Returns the time until which a removed target may be listed again after an outage of the store. An entry that is
+     * told of targets by its hub knows of outages from its reads of the configuration.
+     */
+    private static long renewalsUntilMillis(FleetState state, long nowMillis) {
+        boolean readsTargets = FleetTimings.isFullMesh(state.memberCount()) || HubFlow.isHub(state);
+        long targets = state.feed(Feed.TARGETS).renewalsUntilMillis(nowMillis);
+        return readsTargets
+                ? targets
+                : Math.max(targets, state.feed(Feed.CONFIGURATION).renewalsUntilMillis(nowMillis));
+    }
+
     private static FleetState dropExpiredTargets(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
         for (Map.Entry<String, FleetTarget> entry : state.targets().entrySet()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -48,7 +48,7 @@
      * Sends a request to a target.
      *
      * @param expiresAtMillis the caller's deadline
-     * @param sendUntilMillis latest time to send; after it the key may have been withdrawn unnoticed
+     * @param sendUntilMillis latest time to send; after it the key may have been withdrawn, or the target have left
      * @param workspace name of the workspace, sent to the target
      * @param priority priority at the target
      * @param resumable whether only complete events may be relayed
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -16,10 +16,19 @@
     static final long MAX_RETRY_PAUSE = 400;
     /** Part of the time limit for key withdrawal that is reserved for the transmission of a request to a target. */
     static final long REVOKE_MARGIN = 600;
-    /** Grace period for targets whose registration expired during an outage; they register again within two seconds. */
-    static final long EXPIRY_GRACE = 1_900;
-    /** Time after a failed read during which a target's removal may be caused by the outage. */
-    static final long OUTAGE_WINDOW = 3_000;
+    /** Time between reads of the target list while registrations that expired during an outage are being renewed. */
+    static final long RENEWAL_READ_INTERVAL = 300;
+    /** Time after the first answer of a store that was away: targets register again within two seconds, and are read. */
+    static final long RENEWAL_PERIOD = 2_400;
+    /**
+     * Time after the last read that the store did not answer, from which a removal is final. The store may have returned
+     * right after that read; this much later, a target that was removed must get no more requests.
+     */
+    static final long REMOVALS_FINAL_AFTER = 3_000;
+    /** Shortest outage in which registrations can expire: the interval at which targets renew them. */
+    static final long SHORTEST_EXPIRING_OUTAGE = 1_200;
+    /** Longest delay after a failed read of the target list; it limits the uncertainty of the time of the return. */
+    static final long MAX_TARGETS_RETRY_PAUSE = 200;
     /** Heartbeat interval of a full mesh, with up to {@link #MAX_MESH_MEMBERS} members. */
     static final long HEARTBEAT_INTERVAL = 250;
     /** Minimum time between work notices; an engine reads half a prompt in that time. */
