A connection to a target carries no request id twice

Cause: answers are told apart by their request id, and a connection in use again could carry the same id twice. The late answer to the first request then counts as the answer to the second, with its status and seal. Ruled out: an extra answer with another id, in the same read as the end of the first, between two requests, in part while idle; an entry's own retry, whose former connection is closed. That the users' callers repeat ids is not shown.

Change: CarriedRequests keeps the hashes of a connection's ids; acquire() passes over connections that have carried the id, and a connection ends after 256 requests. Connections are guarded until their request is sent, also new ones, so that an answer which comes before closes them; one that has closed meanwhile is not written to (the attempt waited for its deadline). A second head before the end of the first ends the attempt.

Logs: MALFORMED_ANSWER stood for four things. UNIDENTIFIED_, UNSIGNED_ and OVERSIZED_ANSWER are reasons of their own, and foreign_answer_dropped names both ids, target and status.

MisbehavingTargetTest.lateAnswerToAnEarlierRequestWithTheSameIdIsNotRelayed holds the fixed case. AttemptHandlerTest prepares its connection as the product does (startRequest).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
@@ -14,6 +14,14 @@
     CONNECTION_LOST,
     /** The response violates the protocol. */
     MALFORMED_ANSWER,
+    /** A response that names no request came on a connection that has carried others, so it may belong to one of them. */
+    UNIDENTIFIED_ANSWER,
+    /** A success came without the target's signature. */
+    UNSIGNED_ANSWER,
+    /** The target sent more than a head, or an event of a stream, may have. */
+    OVERSIZED_ANSWER,
+    /** A second response to the request came before the first had ended. */
+    REPEATED_ANSWER,
     /** The time limit for sending passed before the connection was ready; nothing was sent. */
     PERMISSION_ENDED
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -25,10 +25,12 @@
 import org.jackdawbeam.net.target.AnswerHeadLimit;
 import org.jackdawbeam.net.target.TargetAddress;
 import org.jackdawbeam.net.target.TargetConnections;
+import org.tinylog.Logger;
 
 /** Sends the request of one attempt to a target, and relays the response once the reducer has selected it. */
 final class AttemptRelay extends SimpleChannelInboundHandler<HttpObject> {
     private static final String EVENT_STREAM = "text/event-stream";
+    private static final int LOGGED_ID_CHARACTERS = 64; // a target may send an id of any length
 
     private final StartAttempt start;
     private final RelayedRequest request;
@@ -51,6 +53,7 @@
     private boolean requestFlushed;
     private boolean ended;
     private boolean receivedOtherResponse;
+    private boolean responded;
 
     AttemptRelay(
             StartAttempt start,
@@ -69,7 +72,7 @@
     }
 
     void start() {
-        connections.acquire(address, false, this::connected);
+        connections.acquire(address, start.callerRequestId(), this::connected);
     }
 
     /** Starts to relay the response, beginning with its head. */
@@ -124,6 +127,11 @@
             fail(AttemptFailure.PERMISSION_ENDED);
             return;
         }
+        if (!open.isActive()) {
+            fail(AttemptFailure.CONNECT_FAILED);
+            return;
+        }
+        TargetConnections.startRequest(open, start.callerRequestId());
         open.pipeline().addLast(this);
         byte[] body = request.exchange().body();
         HttpHeaders headers = dialect.requestHeaders(
@@ -164,19 +172,27 @@
         ResponseHead head = dialect.read(response, start.callerRequestId());
         discarding = head.forOtherRequest() || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (discarding) {
-            receivedOtherResponse |= head.forOtherRequest();
+            if (head.forOtherRequest() && !receivedOtherResponse) {
+                logOtherResponse(response, head);
+                receivedOtherResponse = true;
+            }
             return;
         }
+        if (responded) {
+            fail(AttemptFailure.REPEATED_ANSWER);
+            return;
+        }
+        responded = true;
         channel.ifPresent(AnswerHeadLimit::responseStarted);
         if (!head.identified() && channel.map(TargetConnections::isReused).orElse(false)) {
             // It may repeat the response to an earlier request, and then says nothing about this one.
-            fail(AttemptFailure.MALFORMED_ANSWER);
+            fail(AttemptFailure.UNIDENTIFIED_ANSWER);
             return;
         }
         status = response.status().code();
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && !head.signed()) {
-            fail(AttemptFailure.MALFORMED_ANSWER);
+            fail(AttemptFailure.UNSIGNED_ANSWER);
             return;
         }
         idleMillis = head.idleMillis();
@@ -188,6 +204,21 @@
                 loop.nowMillis(), start.attempt(), status, head.notExecuted(), sameType, head.statement()));
     }
 
+    /** Logs the first response to another request; a target may send any number of them. */
+    private void logOtherResponse(HttpResponse response, ResponseHead head) {
+        Logger.info(
+                "event=foreign_answer_dropped request={} request_number={} target={} answer_to={} status={}",
+                start.callerRequestId(),
+                start.attempt().requestId(),
+                start.target().id(),
+                head.requestId().map(AttemptRelay::shortened).orElse("-"),
+                response.status().code());
+    }
+
+    private static String shortened(String id) {
+        return id.substring(0, Math.min(id.length(), LOGGED_ID_CHARACTERS));
+    }
+
     private static boolean isEventStream(String type) {
         return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
     }
@@ -219,7 +250,7 @@
         ByteBuf part = splitter.map(open -> open.add(bytes)).orElseGet(bytes::retain);
         if (splitter.map(EventStreamSplitter::isTooLong).orElse(false)) {
             part.release();
-            fail(AttemptFailure.MALFORMED_ANSWER);
+            fail(AttemptFailure.OVERSIZED_ANSWER);
             return;
         }
         if (!part.isReadable()) {
@@ -265,7 +296,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         boolean tooLong = cause instanceof TooLongFrameException;
-        fail(tooLong ? AttemptFailure.MALFORMED_ANSWER : AttemptFailure.CONNECTION_LOST);
+        fail(tooLong ? AttemptFailure.OVERSIZED_ANSWER : AttemptFailure.CONNECTION_LOST);
     }
 
     private void fail(AttemptFailure failure) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -135,7 +135,8 @@
                         channel.pipeline()
                                 .addLast(new ConnectionEndGuard())
                                 .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(maximumResponseBytes));
+                                .addLast(new HttpObjectAggregator(maximumResponseBytes))
+                                .addLast(IDLE_GUARD, new IdleGuard());
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 
-/** Closes a pooled connection that receives data while it is idle, because that data belongs to no request. */
+/** Closes a connection that receives data while no request is in progress, because that data belongs to none. */
 public final class IdleGuard extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetClient.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.jackdawbeam.logic.entry.Effect.StartAttempt;
 import org.jackdawbeam.logic.request.Work;
 import org.jackdawbeam.model.bundle.TargetKind;
@@ -65,14 +66,19 @@
                 new SpanEndingListener(listener, span, start.attempt()),
                 new AtomicBoolean());
         boolean engine = start.target().kind() == TargetKind.ENGINE;
-        connections.acquire(attempt.address(), newConnection, channel -> {
+        Consumer<Optional<Channel>> receiver = channel -> {
             if (channel.isEmpty()) {
                 message.release();
                 attempt.fail(AttemptFailure.CONNECT_FAILED, false);
                 return;
             }
             send(channel.get(), attempt, message, engine);
-        });
+        };
+        if (newConnection) {
+            connections.acquireNew(attempt.address(), receiver);
+        } else {
+            connections.acquire(attempt.address(), attempt.id().toString(), receiver);
+        }
     }
 
     /** Cancels an attempt whose response is no longer needed. The target notices that the connection is closed. */
@@ -92,6 +98,7 @@
                 return;
             }
             running.put(attempt.id(), new RunningAttempt(attempt, channel));
+            TargetConnections.startRequest(channel, attempt.id().toString());
             channel.pipeline().addLast(new AttemptHandler(attempt, connections, mapper.objectMapper(), engine));
             attempt.listener().onWritten();
             channel.writeAndFlush(message);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,7 +32,8 @@
     private static final long IDLE_MILLIS = 3_000;
     private static final String IDLE_GUARD = "idle-guard";
 
-    private static final AttributeKey<Boolean> REUSED = AttributeKey.valueOf(TargetConnections.class, "reused");
+    private static final AttributeKey<CarriedRequests> CARRIED =
+            AttributeKey.valueOf(TargetConnections.class, "carried");
 
     private final EventLoopGroup group;
     private final MonotonicClock clock;
@@ -44,23 +46,38 @@
         this.clock = clock;
     }
 
-    /**
-     * Passes a connection to the receiver, or nothing if none can be opened.
-     *
-     * @param requireNew whether to open a new connection instead of reusing an idle one
-     */
-    public void acquire(InetSocketAddress address, boolean requireNew, Consumer<Optional<Channel>> receiver) {
-        Optional<Channel> pooled = requireNew ? Optional.empty() : takeIdle(address);
+    /** Passes a connection that has not carried the id to the receiver, or nothing if none can be opened. */
+    public void acquire(InetSocketAddress address, String requestId, Consumer<Optional<Channel>> receiver) {
+        Optional<Channel> pooled = takeIdle(address, requestId);
         if (pooled.isPresent()) {
             receiver.accept(pooled);
             return;
         }
+        acquireNew(address, receiver);
+    }
+
+    /** Passes a new connection to the receiver, or nothing if none can be opened. */
+    public void acquireNew(InetSocketAddress address, Consumer<Optional<Channel>> receiver) {
         connect(address).addListener(done -> {
             ChannelFuture connected = (ChannelFuture) done;
             receiver.accept(connected.isSuccess() ? Optional.of(connected.channel()) : Optional.empty());
         });
     }
 
+    /**
+     * Prepares a connection for a request that is sent next. Until then, the connection is closed if it receives
+     * anything.
+     *
+     * @param requestId id that the response is expected to name
+     */
+    public static void startRequest(Channel channel, String requestId) {
+        if (channel.pipeline().get(IDLE_GUARD) != null) {
+            channel.pipeline().remove(IDLE_GUARD);
+        }
+        AnswerHeadLimit.reset(channel);
+        carried(channel).add(requestId);
+    }
+
     /** Returns a connection to the pool after a complete response. */
     public void release(InetSocketAddress address, Channel channel) {
         release(address, channel, IDLE_MILLIS);
@@ -72,12 +89,13 @@
      * @param idleMillis time for which the connection may be reused; it is closed if the time is not positive
      */
     public void release(InetSocketAddress address, Channel channel, long idleMillis) {
-        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
-        if (idleMillis <= 0) {
+        if (channel.pipeline().get(IDLE_GUARD) == null) {
+            channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
+        }
+        if (idleMillis <= 0 || carried(channel).isFull()) {
             channel.close();
             return;
         }
-        channel.attr(REUSED).set(true);
         Deque<IdleChannel> channels = idle.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
             if (channels.size() < MAXIMUM_IDLE_PER_TARGET) {
@@ -88,27 +106,34 @@
         channel.close();
     }
 
-    /** Returns whether a connection has carried an earlier request. */
+    /** Returns whether a connection has carried a request before the present one. */
     public static boolean isReused(Channel channel) {
-        return channel.hasAttr(REUSED);
+        return carried(channel).isRepeated();
     }
 
-    private Optional<Channel> takeIdle(InetSocketAddress address) {
+    private static CarriedRequests carried(Channel channel) {
+        channel.attr(CARRIED).setIfAbsent(new CarriedRequests());
+        return channel.attr(CARRIED).get();
+    }
+
+    private Optional<Channel> takeIdle(InetSocketAddress address, String requestId) {
         Deque<IdleChannel> channels = idle.get(address);
         if (channels == null) {
             return Optional.empty();
         }
         synchronized (channels) {
-            IdleChannel candidate = channels.pollLast();
-            while (candidate != null) {
-                boolean expired = clock.nowMillis() > candidate.reusableUntilMillis();
-                if (candidate.channel().isActive() && !expired) {
-                    candidate.channel().pipeline().remove(IDLE_GUARD);
-                    AnswerHeadLimit.reset(candidate.channel());
+            Iterator<IdleChannel> latestFirst = channels.descendingIterator();
+            while (latestFirst.hasNext()) {
+                IdleChannel candidate = latestFirst.next();
+                boolean usable = candidate.channel().isActive() && clock.nowMillis() <= candidate.reusableUntilMillis();
+                if (usable && carried(candidate.channel()).mayContain(requestId)) {
+                    continue;
+                }
+                latestFirst.remove();
+                if (usable) {
                     return Optional.of(candidate.channel());
                 }
                 candidate.channel().close();
-                candidate = channels.pollLast();
             }
         }
         return Optional.empty();
@@ -133,7 +158,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new ConnectionEndGuard(), new AnswerHeadLimit(), new HttpClientCodec());
+                                .addLast(new ConnectionEndGuard(), new AnswerHeadLimit(), new HttpClientCodec())
+                                .addLast(IDLE_GUARD, new IdleGuard());
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
@@ -89,6 +89,36 @@
         assertThat(call("1", "2")).containsOnlyOnce("mine1").contains("mine2");
     }
 
+    // Guards against a late second answer to a request that the caller has sent again under its old id.
+    @Test
+    void lateAnswerToAnEarlierRequestWithTheSameIdIsNotRelayed() throws Exception {
+        AtomicInteger executions = new AtomicInteger();
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 2) {
+                send(socket, answer(id, "first"));
+            }
+            send(socket, answer(id, executions.incrementAndGet() == 1 ? "first" : "second"));
+        });
+
+        assertThat(call("1", "1")).containsOnlyOnce("first").contains("second");
+    }
+
+    // Guards against half of a late answer that lies in the decoder while the connection is idle.
+    @Test
+    void answerThatArrivesInPartWhileTheConnectionIsIdleIsNotRelayed() throws Exception {
+        start(RouteKind.UNSAFE, false, (socket, id, number) -> {
+            if (number == 2) {
+                send(socket, "seal: s\r\ncontent-length: 5\r\n\r\nwrong");
+            }
+            send(socket, answer(id, "mine" + id));
+            if (number == 1) {
+                send(socket, "HTTP/1.1 200 OK\r\nid: 1\r\n");
+            }
+        });
+
+        assertThat(call("1", "2")).contains("mine1").contains("mine2").doesNotContain("wrong");
+    }
+
     // Guards against a repeated refusal by which a request that runs is sent again or refused as not run.
     @Test
     void repeatedRefusalWithoutAnIdIsNotTakenForTheNextResponse() throws Exception {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -265,7 +265,13 @@
             boolean sealed = response.headers().contains("seal");
             boolean notExecuted = response.headers().contains("not-executed");
             return new ResponseHead(
-                    !id.equals(callerRequestId), identified, sealed, notExecuted, TargetStatement.empty(), 1_000);
+                    identified ? Optional.of(id) : Optional.empty(),
+                    !id.equals(callerRequestId),
+                    identified,
+                    sealed,
+                    notExecuted,
+                    TargetStatement.empty(),
+                    1_000);
         }
 
         @Override
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -87,11 +87,12 @@
                 new RecordingListener(),
                 new AtomicBoolean());
         CompletableFuture<Channel> opened = new CompletableFuture<>();
-        connections.acquire(address, true, channel -> opened.complete(channel.orElseThrow()));
+        connections.acquireNew(address, channel -> opened.complete(channel.orElseThrow()));
         Socket accepted = engine.accept();
         Channel channel = opened.get();
         channel.eventLoop()
                 .submit(() -> {
+                    TargetConnections.startRequest(channel, ID.toString());
                     channel.pipeline()
                             .addLast(new AttemptHandler(
                                     attempt, connections, MessageMapper.json().objectMapper(), true));
