--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -61,6 +61,11 @@
         this.maximumResponseBytes = maximumResponseBytes;
     }
 
+    /** Returns a client for servers whose responses have at most the given size; a longer one fails its request. */
+    public static BufferedHttpClient withMaximumResponse(EventLoopGroup group, int maximumResponseBytes) {
+        return new BufferedHttpClient(group, MAXIMUM_IDLE_CONNECTIONS, maximumResponseBytes);
+    }
+
     /**
      * Returns a client that opens a new connection for each request. Use it for servers whose responses carry no
      * request id and that may send a response twice: on a reused connection the duplicate would be taken for the
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -95,7 +96,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(context, AttemptFailure.CONNECTION_LOST);
+        boolean tooLong = cause instanceof TooLongFrameException;
+        fail(context, tooLong ? AttemptFailure.OVERSIZED_ANSWER : AttemptFailure.CONNECTION_LOST);
     }
 
     private void onResponseHead(ChannelHandlerContext context, HttpResponse response) {
@@ -122,7 +124,7 @@
         if (relaysStream) {
             relay(context, content.content());
         } else if (bodyBuffer.readableBytes() + content.content().readableBytes() > MAXIMUM_RESPONSE_BYTES) {
-            fail(context, AttemptFailure.MALFORMED_ANSWER);
+            fail(context, AttemptFailure.OVERSIZED_ANSWER);
             return;
         } else {
             bodyBuffer.writeBytes(content.content());
@@ -137,6 +139,9 @@
         ByteBuf events = splitter.add(bytes);
         if (!events.isReadable()) {
             events.release();
+            if (splitter.isTooLong()) {
+                fail(context, AttemptFailure.OVERSIZED_ANSWER);
+            }
             return;
         }
         long added = splitter.tokens() - before;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/EventSplitter.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/EventSplitter.java
@@ -13,6 +13,8 @@
     private static final byte[] DONE_LINE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int MAXIMUM_EVENT_BYTES = 256 * 1024; // an event holds a few tokens
+
     private final ByteBuf pending;
     private long tokens;
     private boolean done;
@@ -40,6 +42,11 @@
         return tokens;
     }
 
+    /** Returns whether the incomplete event exceeds the maximum size of an event. */
+    boolean isTooLong() {
+        return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+    }
+
     /** Returns whether the end marker {@code [DONE]} has been received. */
     boolean isDone() {
         return done;
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MisbehavingTargetTest.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Targets that send endless data, duplicate responses or nothing in time, and hosts whose event loop lags. */
 class MisbehavingTargetTest extends RelayHarness {
@@ -59,6 +61,23 @@
         assertFailsQuickly(RouteKind.UNSAFE, false, "", answer("another", "wrong"));
     }
 
+    // Guards against bytes without end in each part of a response that the codec keeps until it is whole.
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'HTTP/1.1 200 OK~id: other~seal: s~~' | x",
+                "'HTTP/1.1 200 OK~id: ID~seal: s~transfer-encoding: chunked~~5;' | x",
+                "'HTTP/1.1 200 OK~id: ID~seal: s~transfer-encoding: chunked~~' | 0",
+                "'HTTP/1.1 200 OK~id: ID~seal: s~transfer-encoding: chunked~~0~' | x: y~",
+                "'HTTP/1.1 200 OK~id: ID~seal: s~transfer-encoding: chunked~~fffffffff~' | x",
+                "'HTTP/1.1 200 ' | x",
+                "'HTTP/1.1 200 OK~id: ' | x"
+            })
+    void endlessPartOfAResponseFailsTheRequest(String beginning, String again) throws Exception {
+        assertFailsQuickly(RouteKind.UNSAFE, false, beginning.replace("~", "\r\n"), again.replace("~", "\r\n"));
+    }
+
     @Test
     void endlessStreamWithoutEventsFailsTheRequest() throws Exception {
         assertFailsQuickly(RouteKind.STREAMING, true, "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\n", "noise");
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -178,4 +178,12 @@
 
         assertThat(result()).startsWith("failed CONNECTION_LOST");
     }
+
+    // Guards against an engine that fills the memory with a stream that has no events.
+    @Test
+    void streamWithoutEventsThatDoesNotEndIsAFailure() throws Exception {
+        run(true, "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n" + "x".repeat(1024 * 1024), false);
+
+        assertThat(result()).isEqualTo("failed " + AttemptFailure.OVERSIZED_ANSWER + " may have run");
+    }
 }
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
@@ -8,10 +8,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** An entry that runs as a separate process. Signals go only to the process id that it started. */
 final class EntryProcess implements AutoCloseable {
     private static final String MAIN = "org.jackdawbeam.platform.Main";
+    private static final String PEAK_MEMORY = "VmHWM:";
+    private static final long KILOBYTES_PER_MEGABYTE = 1_024;
 
     private final String name;
     private final Path folder;
@@ -52,6 +55,24 @@
         return !runs.isEmpty() && runs.getLast().isAlive();
     }
 
+    /**
+     * Returns the largest resident memory of the current run.
+     *
+     * @throws UncheckedIOException if the process has ended, or the system does not tell
+     */
+    synchronized long peakMegabytes() {
+        Path status = Path.of("/proc", Long.toString(runs.getLast().pid()), "status");
+        try (Stream<String> lines = Files.lines(status)) {
+            return lines.filter(line -> line.startsWith(PEAK_MEMORY))
+                            .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                            .findFirst()
+                            .orElseThrow()
+                    / KILOBYTES_PER_MEGABYTE;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Returns the exit code of the last run, or empty while it is running. */
     synchronized Optional<Integer> exitCode() {
         return runs.isEmpty() || runs.getLast().isAlive()
@@ -77,6 +98,8 @@
                 "-Xmx160m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
+                "-XX:+ExitOnOutOfMemoryError",
+                "-Dio.netty.noPreferDirect=true",
                 "--enable-native-access=ALL-UNNAMED",
                 "-cp",
                 System.getProperty("java.class.path"),
