A stopping entry ends when the answers that it holds have been written

Cause: an answer counted as complete when its end was given to the caller's channel, and closing channels at the end of the process drops what they still hold. Ruled out: an end before running requests have ended; the answers cut had all ended.

Change: AnswerBuffered and AnswerWritten tell the reducer of answers whose end waits for a slow caller; StopFlow ends when neither requests nor buffered answers are left, and in any case when the grace is over. HttpExchange.endStream() returns when it is written. The place at the target is free as before.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -119,6 +119,12 @@
     /** An answer is complete. */
     record AttemptCompleted(long nowMillis, AttemptId attempt) implements FleetEvent {}
 
+    /** The end of a complete answer waits in this process, because its caller reads slowly. */
+    record AnswerBuffered(long nowMillis, long requestId) implements FleetEvent {}
+
+    /** The end of a buffered answer has been written to the caller's connection, or the connection has closed. */
+    record AnswerWritten(long nowMillis, long requestId) implements FleetEvent {}
+
     /**
      * An attempt failed.
      *
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -68,6 +68,8 @@
             case FleetEvent.AttemptAnswered answered -> attempts.onAnswered(state, answered, effects);
             case FleetEvent.AttemptStreaming streaming -> attempts.onStreaming(state, streaming, effects);
             case FleetEvent.AttemptCompleted completed -> attempts.onCompleted(state, completed);
+            case FleetEvent.AnswerBuffered buffered -> stop.onBuffered(state, buffered);
+            case FleetEvent.AnswerWritten written -> stop.onWritten(state, written);
             case FleetEvent.AttemptFailed failed -> attempts.onFailed(state, failed, effects);
             case FleetEvent.OrderAnswered answered -> {
                 FleetState next = placement.onAnswered(state, answered, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -9,7 +9,9 @@
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.QuarantineScope;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /**
  * Complete state of an entry of a fleet.
@@ -19,6 +21,7 @@
  * @param targets targets by id
  * @param peers the other entries by member id
  * @param peersAtConfigurationRead the peers at the time of the latest configuration read
+ * @param bufferedAnswers requests whose complete answers have not been written to their callers' connections
  * @param buckets quota buckets of the workspaces that this entry has owned
  * @param quotaOwnership the workspaces whose quota this entry owns now
  * @param retries retry budget by service
@@ -43,6 +46,7 @@
         PMap<String, FleetPeer> peers,
         PMap<String, FleetPeer> peersAtConfigurationRead,
         PMap<Long, FleetRequest> requests,
+        PSet<Long> bufferedAnswers,
         PMap<String, QuotaBucket> buckets,
         QuotaOwnership quotaOwnership,
         PMap<String, RetryBudget> retries,
@@ -80,6 +84,7 @@
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                HashTreePSet.empty(),
                 HashTreePMap.empty(),
                 QuotaOwnership.none(),
                 HashTreePMap.empty(),
@@ -235,6 +240,12 @@
         return builder.build();
     }
 
+    FleetState withBufferedAnswers(PSet<Long> changed) {
+        Builder builder = new Builder(this);
+        builder.bufferedAnswers = changed;
+        return builder.build();
+    }
+
     FleetState with(SentWork changed) {
         Builder builder = new Builder(this);
         builder.sent = changed;
@@ -294,6 +305,7 @@
         private PMap<String, FleetPeer> peers;
         private PMap<String, FleetPeer> peersAtConfigurationRead;
         private PMap<Long, FleetRequest> requests;
+        private PSet<Long> bufferedAnswers;
         private PMap<String, QuotaBucket> buckets;
         private QuotaOwnership quotaOwnership;
         private PMap<String, RetryBudget> retries;
@@ -322,6 +334,7 @@
             peers = source.peers;
             peersAtConfigurationRead = source.peersAtConfigurationRead;
             requests = source.requests;
+            bufferedAnswers = source.bufferedAnswers;
             buckets = source.buckets;
             quotaOwnership = source.quotaOwnership;
             retries = source.retries;
@@ -352,6 +365,7 @@
                     peers,
                     peersAtConfigurationRead,
                     requests,
+                    bufferedAnswers,
                     buckets,
                     quotaOwnership,
                     retries,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
@@ -49,6 +49,14 @@
         return peers.sendDigest(leaving, nowMillis, effects);
     }
 
+    FleetState onBuffered(FleetState state, FleetEvent.AnswerBuffered event) {
+        return state.withBufferedAnswers(state.bufferedAnswers().plus(event.requestId()));
+    }
+
+    FleetState onWritten(FleetState state, FleetEvent.AnswerWritten event) {
+        return state.withBufferedAnswers(state.bufferedAnswers().minus(event.requestId()));
+    }
+
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         return switch (state.stop()) {
             case StopStage.Leaving leaving
@@ -60,7 +68,9 @@
             case StopStage.Draining draining -> {
                 long age = nowMillis - draining.sinceMillis();
                 boolean over = age >= state.bounds().graceMillis() - END_MARGIN_MILLIS;
-                boolean idle = state.requests().isEmpty() && age >= leavingMillis(state) + END_MARGIN_MILLIS;
+                boolean finished =
+                        state.requests().isEmpty() && state.bufferedAnswers().isEmpty();
+                boolean idle = finished && age >= leavingMillis(state) + END_MARGIN_MILLIS;
                 yield over || idle ? exit(state, nowMillis, effects) : refuseWaiting(state, nowMillis, effects);
             }
             default -> state;
@@ -91,8 +101,14 @@
                 broken += running.answered() ? 1 : 0;
             }
         }
-        effects.add(
-                FleetEffect.Note.of("stopped", "open_requests", state.requests().size(), "broken_answers", broken));
+        effects.add(FleetEffect.Note.of(
+                "stopped",
+                "open_requests",
+                state.requests().size(),
+                "broken_answers",
+                broken,
+                "buffered_answers",
+                state.bufferedAnswers().size()));
         effects.add(new FleetEffect.Exit());
         return next.with(new StopStage.Stopped());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
@@ -275,7 +276,7 @@
             return;
         }
         end();
-        request.exchange().endStream();
+        Future<Void> callerWritten = request.exchange().endStream();
         context.channel().config().setAutoRead(true);
         if (requestFlushed && !receivedOtherResponse) {
             context.pipeline().remove(this);
@@ -285,6 +286,11 @@
         }
         onComplete.run();
         loop.submit(new FleetEvent.AttemptCompleted(loop.nowMillis(), start.attempt()));
+        if (!callerWritten.isDone()) {
+            long id = start.attempt().requestId();
+            loop.submit(new FleetEvent.AnswerBuffered(loop.nowMillis(), id));
+            callerWritten.addListener(done -> loop.submit(new FleetEvent.AnswerWritten(loop.nowMillis(), id)));
+        }
     }
 
     @Override
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.util.Map;
 
 /**
@@ -156,13 +158,17 @@
         channel.writeAndFlush(new DefaultHttpContent(part));
     }
 
-    /** Ends a streamed response. */
-    public void endStream() {
+    /**
+     * Ends a streamed response.
+     *
+     * @return completed when the response has been written to the connection, or the connection has closed
+     */
+    public Future<Void> endStream() {
+        ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         if (keepsConnectionOpen()) {
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> onFinished.run());
-            return;
+            return written.addListener(done -> onFinished.run());
         }
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(ChannelFutureListener.CLOSE);
+        return written.addListener(ChannelFutureListener.CLOSE);
     }
 
     /** Closes the connection without completing the response, so that the client can tell that it is truncated. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/StopFlowTest.java
@@ -244,4 +244,28 @@
             }
         }
     }
+
+    // Guards against a process that ends with the end of an answer in it.
+    @Test
+    void entryWithABufferedAnswerEndsWhenItHasBeenWritten() {
+        fixture.apply(new FleetEvent.AnswerBuffered(fixture.nowMillis, 1));
+        stop();
+        fixture.advanceWithStoreReads(LEAVING_MILLIS + 1_500);
+        assertThat(fixture.state.stop()).isInstanceOf(StopStage.Draining.class);
+
+        fixture.apply(new FleetEvent.AnswerWritten(fixture.nowMillis, 1));
+        fixture.advanceWithStoreReads(50);
+
+        assertThat(fixture.all(FleetEffect.Exit.class)).hasSize(1);
+    }
+
+    @Test
+    void entryEndsInTimeAlthoughACallerDoesNotReadItsAnswer() {
+        fixture.apply(new FleetEvent.AnswerBuffered(fixture.nowMillis, 1));
+        stop();
+
+        fixture.advanceWithStoreReads(FleetFixture.BOUNDS.graceMillis());
+
+        assertThat(fixture.state.stop()).isInstanceOf(StopStage.Stopped.class);
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -59,6 +59,7 @@
     final AtomicInteger connections = new AtomicInteger();
     ServerSocket target;
     HttpServer server;
+    FleetLoop loop;
 
     /** Runs on the entry's thread when a request has been read. */
     Runnable onRead = () -> {};
@@ -87,8 +88,7 @@
         EventLoop thread = group.next();
         FleetMember self = new FleetMember("a", "a/1", "z", "127.0.0.1:1", "127.0.0.1:2", 100);
         FleetBounds bounds = new FleetBounds(60_000, true, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5);
-        FleetLoop loop =
-                new FleetLoop(new FleetReducer(), FleetState.initial(self, bounds), clock, thread, new FleetLog());
+        loop = new FleetLoop(new FleetReducer(), FleetState.initial(self, bounds), clock, thread, new FleetLog());
         TargetConnections pool = new TargetConnections(group, clock);
         RequestRelay relay = new RequestRelay(
                 loop,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RequestRelayTest.java
@@ -1,7 +1,9 @@
 package org.jackdawbeam.net.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.fail;
 
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jackdawbeam.model.fleet.RouteKind;
@@ -9,6 +11,9 @@
 
 /** Relaying of responses from targets to callers. */
 class RequestRelayTest extends RelayHarness {
+    private static final int FIRST_SIZE = 1024 * 1024;
+    private static final int SIZE_STEP = 60 * 1024; // less than the write buffer of a connection takes
+
     @Test
     void responseIsRelayedWithItsSignature() throws Exception {
         start(RouteKind.SAFE, false, (socket, id, number) -> send(socket, answer(id, "hello")));
@@ -120,4 +125,31 @@
         }
         assertThat(closed).hasValue(1);
     }
+
+    // Guards against a process that takes an answer for delivered while its end waits for a slow caller.
+    @Test
+    void answerCountsAsBufferedUntilItsCallerHasReadOn() throws Exception {
+        AtomicInteger size = new AtomicInteger(FIRST_SIZE);
+        start(RouteKind.SAFE, false, (socket, id, number) -> send(socket, answer(id, "x".repeat(size.get()))));
+        // How much the sockets take is not known before; only what they leave over waits in the process.
+        while (size.addAndGet(SIZE_STEP) < LONG_BODY_BYTES) {
+            try (Socket socket = new Socket()) {
+                socket.setReceiveBufferSize(64 * 1024);
+                socket.connect(new InetSocketAddress(LOOPBACK, server.port()));
+                send(socket, "GET /x HTTP/1.1\r\nhost: host\r\nid: " + size + "\r\nconnection: close\r\n\r\n");
+                sleep(60);
+                if (bufferedAnswers() == 1) {
+                    socket.getInputStream().readAllBytes();
+                    sleep();
+                    assertThat(bufferedAnswers()).isZero();
+                    return;
+                }
+            }
+        }
+        fail("no answer of any size was buffered");
+    }
+
+    private int bufferedAnswers() throws Exception {
+        return group.next().submit(() -> loop.state().bufferedAnswers().size()).get();
+    }
 }
