--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -108,6 +108,36 @@
         assertThat(fixture.state.targets()).containsKey("e22");
     }
 
+    private void targetRemovedByTheHub() {
+        fixture.receive(new FleetMessage.FeedNews(
+                HUB, Feed.TARGETS, OptionalLong.empty(), 1, List.of(new FeedEntry.TargetRemoved("e1")), 2));
+    }
+
+    // Guards against a gap in service of a large fleet after an outage of the store.
+    @Test
+    void targetRemovedByTheHubAfterAnOutageMayBeRenewed() {
+        fixture.read(Feed.CONFIGURATION, fixture.nowMillis);
+        fixture.advance(FleetTimings.DIRECT_READ_AGE + FleetTimings.GROUP_HEARTBEAT_INTERVAL);
+        assertThat(readsFromStore(Feed.CONFIGURATION)).isTrue();
+        fixture.advance(900);
+        fixture.apply(new FleetEvent.FeedFailed(fixture.nowMillis, Feed.CONFIGURATION, false));
+
+        targetRemovedByTheHub();
+        assertThat(fixture.state.targets()).containsKey("e1");
+
+        fixture.advance(FleetTimings.REMOVALS_FINAL_AFTER);
+        assertThat(fixture.state.targets()).doesNotContainKey("e1");
+    }
+
+    @Test
+    void targetRemovedByTheHubWithoutAnOutageIsGone() {
+        fixture.read(Feed.CONFIGURATION, fixture.nowMillis);
+
+        targetRemovedByTheHub();
+
+        assertThat(fixture.state.targets()).doesNotContainKey("e1");
+    }
+
     @Test
     void updatesAfterAGapAreNotApplied() {
         fixture.receive(new FleetMessage.FeedNews(
