--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -18,11 +18,11 @@
     static final long REVOKE_MARGIN = 600;
     /** Time between reads of the target list while registrations that expired during an outage are being renewed. */
     static final long RENEWAL_READ_INTERVAL = 300;
-    /** Time after the first answer of a store that was away: targets register again within two seconds, and are read. */
+    /** Time after the first answer of a store that was away: targets register again within two seconds. */
     static final long RENEWAL_PERIOD = 2_400;
     /**
-     * Time after the last read that the store did not answer, from which a removal is final. The store may have returned
-     * right after that read; this much later, a target that was removed must get no more requests.
+     * Time after the last read that the store did not answer, from which a removal is final. The store may have
+     * returned right after that read; this much later, a target that was removed must get no more requests.
      */
     static final long REMOVALS_FINAL_AFTER = 3_000;
     /** Shortest outage in which registrations can expire: the interval at which targets renew them. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
@@ -14,7 +14,7 @@
     CONNECTION_LOST,
     /** The response violates the protocol. */
     MALFORMED_ANSWER,
-    /** A response that names no request came on a connection that has carried others, so it may belong to one of them. */
+    /** A response that names no request came on a connection in use again; it may belong to an earlier request. */
     UNIDENTIFIED_ANSWER,
     /** A success came without the target's signature. */
     UNSIGNED_ANSWER,
