--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EndlessBytesTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EndlessBytesTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** An entry process before a hundred targets of each service that send bytes without end, and callers that read slowly. */
+/** An entry process before many targets that send bytes without end, and callers that read slowly. */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class EndlessBytesTest {
     private static final int TARGETS = 100;
