Logs tell which bytes an answer was made from

attempt_ended is written once for each attempt that was sent: target and its start, number of the connection, place of the request on it, status and signature of the head, framing, relayed bytes, outcome. foreign_answer_dropped names connection and place. unexpected_bytes tells what came while no request was in progress. At most one line for an attempt and one for a connection. No decision changes: ResponseHead carries the signature where it said whether there is one.

Run: MisbehavingTargetTest, RequestRelayTest, TruncatedAnswerTest, AttemptHandlerTest, BufferedHttpClientTest pass.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -26,12 +26,12 @@
 import org.jackdawbeam.net.target.AnswerHeadLimit;
 import org.jackdawbeam.net.target.TargetAddress;
 import org.jackdawbeam.net.target.TargetConnections;
-import org.tinylog.Logger;
 
 /** Sends the request of one attempt to a target, and relays the response once the reducer has selected it. */
 final class AttemptRelay extends SimpleChannelInboundHandler<HttpObject> {
     private static final String EVENT_STREAM = "text/event-stream";
-    private static final int LOGGED_ID_CHARACTERS = 64; // a target may send an id of any length
+    private static final String COMPLETE = "complete";
+    private static final String CANCELLED = "cancelled";
 
     private final StartAttempt start;
     private final RelayedRequest request;
@@ -40,6 +40,7 @@
     private final FleetLoop loop;
     private final Runnable onComplete;
     private final InetSocketAddress address;
+    private final AttemptTrace trace;
     private Optional<Channel> channel = Optional.empty();
     private Optional<EventStreamSplitter> splitter = Optional.empty();
     private Optional<EventBoundary> boundary = Optional.empty();
@@ -70,6 +71,7 @@
         this.loop = loop;
         this.onComplete = onComplete;
         this.address = TargetAddress.parse(start.target().address());
+        this.trace = new AttemptTrace(start);
     }
 
     void start() {
@@ -95,7 +97,7 @@
     /** Cancels the attempt; nothing more of its response is relayed. */
     void cancel() {
         if (!ended) {
-            end();
+            end(CANCELLED);
             channel.ifPresent(Channel::close);
         }
     }
@@ -133,6 +135,7 @@
             return;
         }
         TargetConnections.startRequest(open, start.callerRequestId());
+        trace.sentOn(open);
         open.pipeline().addLast(this);
         byte[] body = request.exchange().body();
         HttpHeaders headers = dialect.requestHeaders(
@@ -174,7 +177,7 @@
         discarding = head.forOtherRequest() || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (discarding) {
             if (head.forOtherRequest() && !receivedOtherResponse) {
-                logOtherResponse(response, head);
+                trace.logOtherResponse(response, head);
                 receivedOtherResponse = true;
             }
             return;
@@ -191,8 +194,9 @@
             return;
         }
         status = response.status().code();
+        trace.answered(response, head);
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
-        if (success && !head.signed()) {
+        if (success && head.signature().isEmpty()) {
             fail(AttemptFailure.UNSIGNED_ANSWER);
             return;
         }
@@ -205,21 +209,6 @@
                 loop.nowMillis(), start.attempt(), status, head.notExecuted(), sameType, head.statement()));
     }
 
-    /** Logs the first response to another request; a target may send any number of them. */
-    private void logOtherResponse(HttpResponse response, ResponseHead head) {
-        Logger.info(
-                "event=foreign_answer_dropped request={} request_number={} target={} answer_to={} status={}",
-                start.callerRequestId(),
-                start.attempt().requestId(),
-                start.target().id(),
-                head.requestId().map(AttemptRelay::shortened).orElse("-"),
-                response.status().code());
-    }
-
-    private static String shortened(String id) {
-        return id.substring(0, Math.min(id.length(), LOGGED_ID_CHARACTERS));
-    }
-
     private static boolean isEventStream(String type) {
         return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
     }
@@ -247,6 +236,7 @@
             bodyStarted = true;
             loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
         }
+        trace.relayed(bytes.readableBytes());
         boundary.ifPresent(end -> end.add(bytes));
         ByteBuf part = splitter.map(open -> open.add(bytes)).orElseGet(bytes::retain);
         if (splitter.map(EventStreamSplitter::isTooLong).orElse(false)) {
@@ -275,7 +265,7 @@
             fail(AttemptFailure.CONNECTION_LOST);
             return;
         }
-        end();
+        end(COMPLETE);
         Future<Void> callerWritten = request.exchange().endStream();
         context.channel().config().setAutoRead(true);
         if (requestFlushed && !receivedOtherResponse) {
@@ -309,13 +299,16 @@
         if (ended) {
             return;
         }
-        end();
+        end(failure.name());
         channel.ifPresent(Channel::close);
         loop.submit(new FleetEvent.AttemptFailed(loop.nowMillis(), start.attempt(), failure, written));
     }
 
-    private void end() {
+    private void end(String outcome) {
         ended = true;
+        if (written) {
+            trace.logEnd(outcome);
+        }
         splitter.ifPresent(EventStreamSplitter::close);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -34,6 +34,7 @@
 import java.util.function.BooleanSupplier;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.tinylog.Logger;
 
 /**
  * HTTP/1.1 client for control traffic that buffers each response completely. A connection returns to the pool only
@@ -141,7 +142,7 @@
                                 .addLast(new ConnectionEndGuard())
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(maximumResponseBytes))
-                                .addLast(IDLE_GUARD, new IdleGuard());
+                                .addLast(IDLE_GUARD, guard(channel));
                     }
                 })
                 .connect(address);
@@ -193,7 +194,7 @@
     }
 
     private void returnToPool(InetSocketAddress address, Channel channel) {
-        channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
+        channel.pipeline().addLast(IDLE_GUARD, guard(channel));
         Deque<Channel> channels = idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
             if (channels.size() < maximumIdleConnections) {
@@ -204,6 +205,11 @@
         channel.close();
     }
 
+    private static IdleGuard guard(Channel channel) {
+        return new IdleGuard(
+                first -> Logger.warn("event=unexpected_bytes address={} first=\"{}\"", channel.remoteAddress(), first));
+    }
+
     private static JackdawbeamException failure(ErrorCode code, InetSocketAddress address) {
         return new JackdawbeamException(code, "no answer from " + address);
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -17,10 +17,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jackdawbeam.model.time.MonotonicClock;
 import org.jackdawbeam.net.http.ConnectionEndGuard;
 import org.jackdawbeam.net.http.IdleGuard;
+import org.tinylog.Logger;
 
 /**
  * Connection pool for targets. A connection is reused only after a complete response and only for a short time, because
@@ -37,6 +39,7 @@
 
     private final EventLoopGroup group;
     private final MonotonicClock clock;
+    private final AtomicLong lastNumber = new AtomicLong();
     private final Map<InetSocketAddress, Deque<IdleChannel>> idle = new ConcurrentHashMap<>();
 
     private record IdleChannel(Channel channel, long reusableUntilMillis) {}
@@ -90,7 +93,7 @@
      */
     public void release(InetSocketAddress address, Channel channel, long idleMillis) {
         if (channel.pipeline().get(IDLE_GUARD) == null) {
-            channel.pipeline().addLast(IDLE_GUARD, new IdleGuard());
+            channel.pipeline().addLast(IDLE_GUARD, guard(channel));
         }
         if (idleMillis <= 0 || carried(channel).isFull()) {
             channel.close();
@@ -111,8 +114,17 @@
         return carried(channel).isRepeated();
     }
 
+    /** Returns the number of a connection, which is unique in this process. */
+    public static long connectionNumber(Channel channel) {
+        return carried(channel).connectionNumber();
+    }
+
+    /** Returns how many requests a connection has carried, the present one included. */
+    public static int requestCount(Channel channel) {
+        return carried(channel).count();
+    }
+
     private static CarriedRequests carried(Channel channel) {
-        channel.attr(CARRIED).setIfAbsent(new CarriedRequests());
         return channel.attr(CARRIED).get();
     }
 
@@ -147,6 +159,19 @@
         }
     }
 
+    private static IdleGuard guard(Channel channel) {
+        return new IdleGuard(first -> logUnexpected(channel, first));
+    }
+
+    private static void logUnexpected(Channel channel, String first) {
+        Logger.warn(
+                "event=unexpected_bytes connection={} requests={} address={} first=\"{}\"",
+                connectionNumber(channel),
+                requestCount(channel),
+                channel.remoteAddress(),
+                first);
+    }
+
     private ChannelFuture connect(InetSocketAddress address) {
         return new Bootstrap()
                 .group(group)
@@ -157,9 +182,10 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        channel.attr(CARRIED).set(new CarriedRequests(lastNumber.incrementAndGet()));
                         channel.pipeline()
                                 .addLast(new ConnectionEndGuard(), new AnswerHeadLimit(), new HttpClientCodec())
-                                .addLast(IDLE_GUARD, new IdleGuard());
+                                .addLast(IDLE_GUARD, guard(channel));
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -262,13 +262,13 @@
         public ResponseHead read(HttpResponse response, String callerRequestId) {
             boolean identified = response.headers().contains("id");
             String id = response.headers().get("id", callerRequestId);
-            boolean sealed = response.headers().contains("seal");
+            Optional<String> seal = Optional.ofNullable(response.headers().get("seal"));
             boolean notExecuted = response.headers().contains("not-executed");
             return new ResponseHead(
                     identified ? Optional.of(id) : Optional.empty(),
                     !id.equals(callerRequestId),
                     identified,
-                    sealed,
+                    seal,
                     notExecuted,
                     TargetStatement.empty(),
                     1_000);
