A head of an answer is never made of two

Cause: bytes were attributed to answers by what the HTTP codec had decoded. The beginning of a second answer that is cut off in its head stays in the decoder without a message, so that neither the guard of idle connections (behind the codec) nor the end of the first answer noticed it, and the next head on the connection continued it. Ids cannot tell such a head: the id, seal and body are the caller's own, only the status is another's. The class of fault: the state of a parser outlives the message that it belongs to.

The own interface and the control calls had the same fault: they share the pool, the guard or the codec.

Change: IdleGuard stands in front of the codec and closes a connection at the first byte that comes while no request is in progress. ResponseCodec (HttpResponseDecoder with the pairing of HEAD, in place of HttpClientCodec) tells whether bytes came beyond the end of a response; such a connection is not used again. A reason phrase or header value that ends with a status line fails the answer as MERGED_ANSWER: that is where the head of the next answer begins if the cut lies inside either; any other place is malformed already.

Ruled out: rejecting repeated ids in a head only (the cut may lie before the id). ConnectionEndGuardTest uses the codec that the product uses now.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
@@ -14,6 +14,8 @@
     CONNECTION_LOST,
     /** The response violates the protocol. */
     MALFORMED_ANSWER,
+    /** The head of a response contains another one, so that its parts may belong to different requests. */
+    MERGED_ANSWER,
     /** A response that names no request came on a connection in use again; it may belong to an earlier request. */
     UNIDENTIFIED_ANSWER,
     /** A success came without the target's signature. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -23,6 +23,7 @@
 import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
 import org.jackdawbeam.logic.fleet.FleetEvent;
 import org.jackdawbeam.model.request.AttemptFailure;
+import org.jackdawbeam.net.http.MergedHeadException;
 import org.jackdawbeam.net.target.AnswerHeadLimit;
 import org.jackdawbeam.net.target.TargetAddress;
 import org.jackdawbeam.net.target.TargetConnections;
@@ -161,7 +162,8 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(AttemptFailure.MALFORMED_ANSWER);
+            boolean merged = message.decoderResult().cause() instanceof MergedHeadException;
+            fail(merged ? AttemptFailure.MERGED_ANSWER : AttemptFailure.MALFORMED_ANSWER);
             return;
         }
         if (message instanceof HttpResponse response) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -45,7 +44,6 @@
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024; // four times the largest configuration
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int MAXIMUM_IDLE_CONNECTIONS = 4;
-    private static final String IDLE_GUARD = "idle-guard";
 
     private final EventLoopGroup group;
     private final int maximumIdleConnections;
@@ -140,9 +138,9 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new ConnectionEndGuard())
-                                .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(maximumResponseBytes))
-                                .addLast(IDLE_GUARD, guard(channel));
+                                .addLast(guard(channel))
+                                .addLast(new ResponseCodec())
+                                .addLast(new HttpObjectAggregator(maximumResponseBytes));
                     }
                 })
                 .connect(address);
@@ -162,9 +160,7 @@
                 response.completeExceptionally(failure(ErrorCode.NOT_PERMITTED, address));
                 return;
             }
-            if (channel.pipeline().get(IDLE_GUARD) != null) {
-                channel.pipeline().remove(IDLE_GUARD);
-            }
+            IdleGuard.requestStarted(channel);
             channel.pipeline().addLast(new ResponseHandler(address, response));
             var timer = channel.eventLoop()
                     .schedule(() -> fail(channel, address, response), timeoutMillis, TimeUnit.MILLISECONDS);
@@ -194,7 +190,9 @@
     }
 
     private void returnToPool(InetSocketAddress address, Channel channel) {
-        channel.pipeline().addLast(IDLE_GUARD, guard(channel));
+        if (!IdleGuard.responseEnded(channel)) {
+            return;
+        }
         Deque<Channel> channels = idleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
         synchronized (channels) {
             if (channels.size() < maximumIdleConnections) {
--- /dev/null
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -0,0 +1,92 @@
+package org.jackdawbeam.net.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * HTTP codec for connections that carry one request at a time to servers that may send more than one response to it. It
+ * tells whether bytes have been received beyond the end of a response, and rejects a head that consists of two: the
+ * beginning of a response that was cut off, and the head of the next one.
+ */
+public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
+    /** A status line up to the end of a reason phrase or header value, where only a second head puts one. */
+    private static final Pattern STATUS_LINE_AT_END = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}( .*)?$");
+
+    private static final String STATUS_LINE_START = "HTTP/1.";
+
+    private final Decoder decoder = new Decoder();
+
+    public ResponseCodec() {
+        init(decoder, new HttpRequestEncoder());
+    }
+
+    /** Returns whether the connection has received bytes that belong to no response decoded so far. */
+    public static boolean hasUndecodedBytes(Channel channel) {
+        ResponseCodec codec = channel.pipeline().get(ResponseCodec.class);
+        return codec != null && codec.decoder.undecodedBytes() > 0;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+        if (message instanceof HttpRequest request) {
+            decoder.headRequest = HttpMethod.HEAD.equals(request.method());
+        }
+        super.write(context, message, promise);
+    }
+
+    private static boolean isMerged(HttpResponse response) {
+        if (containsStatusLine(response.status().reasonPhrase())) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : response.headers()) {
+            if (containsStatusLine(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains(STATUS_LINE_START)
+                && STATUS_LINE_AT_END.matcher(text).find();
+    }
+
+    private static final class Decoder extends HttpResponseDecoder {
+        private boolean headRequest;
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
+            super.decode(context, input, output);
+            for (Object message : output) {
+                boolean merged = message instanceof HttpResponse response
+                        && response.decoderResult().isSuccess()
+                        && isMerged(response);
+                if (merged) {
+                    ((HttpResponse) message).setDecoderResult(DecoderResult.failure(new MergedHeadException()));
+                }
+            }
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return headRequest || super.isContentAlwaysEmpty(message);
+        }
+
+        private int undecodedBytes() {
+            return actualReadableBytes();
+        }
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/AttemptHandler.java
@@ -24,6 +24,7 @@
 import org.jackdawbeam.model.request.StoredAnswer;
 import org.jackdawbeam.net.http.BufferedHttpResponse;
 import org.jackdawbeam.net.http.HttpExchange;
+import org.jackdawbeam.net.http.MergedHeadException;
 
 /** Receives the response of one attempt and relays it as a stream or buffers it. */
 final class AttemptHandler extends SimpleChannelInboundHandler<HttpObject> {
@@ -77,7 +78,8 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         lastActivityNanos = System.nanoTime();
         if (message.decoderResult().isFailure()) {
-            fail(context, AttemptFailure.MALFORMED_ANSWER);
+            boolean merged = message.decoderResult().cause() instanceof MergedHeadException;
+            fail(context, merged ? AttemptFailure.MERGED_ANSWER : AttemptFailure.MALFORMED_ANSWER);
             return;
         }
         if (message instanceof HttpResponse response) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/CarriedRequests.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/CarriedRequests.java
@@ -3,9 +3,10 @@
 import java.util.Arrays;
 
 /**
- * The number of a connection, for the log, and the ids of the requests that it has carried. A target may answer a request a second time, long after the
- * first, and only the id tells the late answer from the answer to the request that is sent now. So a connection must
- * not carry the same id twice. Ids are kept as hashes; a collision only means that another connection is used.
+ * The number of a connection, for the log, and the ids of the requests that it has carried. A target may answer a
+ * request a second time, long after the first, and only the id tells the late answer from the answer to the request
+ * that is sent now. So a connection must not carry the same id twice. Ids are kept as hashes; a collision only means
+ * that another connection is used.
  */
 final class CarriedRequests {
     private static final int MAXIMUM_REQUESTS = 256; // a new connection costs little, and ids cost memory
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -22,6 +21,7 @@
 import org.jackdawbeam.model.time.MonotonicClock;
 import org.jackdawbeam.net.http.ConnectionEndGuard;
 import org.jackdawbeam.net.http.IdleGuard;
+import org.jackdawbeam.net.http.ResponseCodec;
 import org.tinylog.Logger;
 
 /**
@@ -32,7 +32,6 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int MAXIMUM_IDLE_PER_TARGET = 64;
     private static final long IDLE_MILLIS = 3_000;
-    private static final String IDLE_GUARD = "idle-guard";
 
     private static final AttributeKey<CarriedRequests> CARRIED =
             AttributeKey.valueOf(TargetConnections.class, "carried");
@@ -74,9 +73,7 @@
      * @param requestId id that the response is expected to name
      */
     public static void startRequest(Channel channel, String requestId) {
-        if (channel.pipeline().get(IDLE_GUARD) != null) {
-            channel.pipeline().remove(IDLE_GUARD);
-        }
+        IdleGuard.requestStarted(channel);
         AnswerHeadLimit.reset(channel);
         carried(channel).add(requestId);
     }
@@ -92,8 +89,8 @@
      * @param idleMillis time for which the connection may be reused; it is closed if the time is not positive
      */
     public void release(InetSocketAddress address, Channel channel, long idleMillis) {
-        if (channel.pipeline().get(IDLE_GUARD) == null) {
-            channel.pipeline().addLast(IDLE_GUARD, guard(channel));
+        if (!IdleGuard.responseEnded(channel)) {
+            return;
         }
         if (idleMillis <= 0 || carried(channel).isFull()) {
             channel.close();
@@ -184,8 +181,8 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.attr(CARRIED).set(new CarriedRequests(lastNumber.incrementAndGet()));
                         channel.pipeline()
-                                .addLast(new ConnectionEndGuard(), new AnswerHeadLimit(), new HttpClientCodec())
-                                .addLast(IDLE_GUARD, guard(channel));
+                                .addLast(new ConnectionEndGuard(), guard(channel))
+                                .addLast(new AnswerHeadLimit(), new ResponseCodec());
                     }
                 })
                 .connect(address);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -75,14 +75,14 @@
         return code[0];
     }
 
-    /** Responds to each request with its number, and to the first one a second time after a pause. */
-    private static void respondTwice(Socket socket, long pauseMillis) {
+    /** Responds to each request with its number, and to the first one a second time, perhaps in part, after a pause. */
+    private static void respondTwice(Socket socket, long pauseMillis, int secondBytes) {
         try (socket) {
             for (int number = 1; readRequest(socket); number++) {
-                write(socket, number);
+                write(socket, response(number));
                 if (number == 1) {
                     Thread.sleep(pauseMillis);
-                    write(socket, number);
+                    write(socket, response(number).substring(0, secondBytes));
                 }
             }
         } catch (IOException | InterruptedException e) {
@@ -103,18 +103,25 @@
         return false;
     }
 
-    private static void write(Socket socket, int number) throws IOException {
-        String response = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" + number;
-        socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+    private static String response(int number) {
+        return "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" + number;
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
     private static ServerSocket serveWithDuplicateResponse(long pauseMillis) throws IOException {
+        return serveWithDuplicateResponse(pauseMillis, response(1).length());
+    }
+
+    private static ServerSocket serveWithDuplicateResponse(long pauseMillis, int secondBytes) throws IOException {
         ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(() -> {
             try {
                 while (true) {
                     Socket socket = server.accept();
-                    Thread.ofVirtual().start(() -> respondTwice(socket, pauseMillis));
+                    Thread.ofVirtual().start(() -> respondTwice(socket, pauseMillis, secondBytes));
                 }
             } catch (IOException e) {
                 // The test has closed the server socket.
@@ -140,6 +147,19 @@
         }
     }
 
+    // Guards against part of a second response that lies in the decoder and merges with the next response.
+    @Test
+    void connectionThatReceivesPartOfAHeadWhileIdleIsNotReused() throws Exception {
+        try (ServerSocket server = serveWithDuplicateResponse(50, "HTTP/1.1 200 O".length())) {
+            assertThat(body(send(server.getLocalPort()))).isEqualTo("1");
+            Thread.sleep(150);
+
+            BufferedHttpResponse next = send(server.getLocalPort());
+
+            assertThat(body(next)).isEqualTo("1");
+        }
+    }
+
     @Test
     void clientWithoutConnectionReuseOpensAConnectionForEachRequest() throws Exception {
         BufferedHttpClient nonReusing = BufferedHttpClient.withoutConnectionReuse(group, 1_024);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ConnectionEndGuardTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ConnectionEndGuardTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -20,7 +19,7 @@
 class ConnectionEndGuardTest {
     private final List<String> received = new ArrayList<>();
     private final EmbeddedChannel channel =
-            new EmbeddedChannel(new ConnectionEndGuard(), new HttpClientCodec(), new Recorder());
+            new EmbeddedChannel(new ConnectionEndGuard(), new ResponseCodec(), new Recorder());
 
     private final class Recorder extends ChannelInboundHandlerAdapter {
         @Override
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -141,6 +141,18 @@
         assertThat(result()).isEqualTo("failed " + AttemptFailure.MALFORMED_ANSWER + " may have run");
     }
 
+    // Guards against the status of a response that was cut off in its head, with the body of the next one.
+    @Test
+    void answerWhoseHeadContainsAnotherOneIsAFailure() throws Exception {
+        run(
+                false,
+                "HTTP/1.1 200 OK\r\ncontent-type: applicHTTP/1.1 500 Broken\r\ncontent-length: 39\r\n\r\n"
+                        + "{\"usage\":{\"completion_tokens\":1},\"a\":1}",
+                false);
+
+        assertThat(result()).isEqualTo("failed " + AttemptFailure.MERGED_ANSWER + " may have run");
+    }
+
     // Guards against a repeated rejection that is taken for the response to the next request.
     @Test
     void connectionIsNotReusedAfterARejection() throws Exception {
