A control call is not written to a connection that has just closed

Cause: a pooled connection is taken on the caller's thread and written to on its event loop; in between it may close, as when the guard closes it for unexpected bytes. The call then failed with CONNECTION_FAILED although a new connection would have served it. The guard wrote its log line before it closed the connection, which made this likely: the first line of a process takes tens of milliseconds.

Change: the event loop looks again whether the connection is open and opens a new one otherwise; the guard closes first, then logs.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -109,11 +109,28 @@
         headers.forEach((name, value) -> request.headers().set(name, value));
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         HttpUtil.setContentLength(request, body.length);
+        Runnable onNewConnection = () -> connectAndExchange(address, request, response, timeoutMillis, permitted);
         Channel pooled = takeIdleConnection(address);
-        if (pooled != null) {
-            exchange(pooled, address, request, response, timeoutMillis, permitted);
+        if (pooled == null) {
+            onNewConnection.run();
             return response;
         }
+        pooled.eventLoop().execute(() -> {
+            if (pooled.isActive()) {
+                exchange(pooled, address, request, response, timeoutMillis, permitted);
+            } else {
+                onNewConnection.run();
+            }
+        });
+        return response;
+    }
+
+    private void connectAndExchange(
+            InetSocketAddress address,
+            DefaultFullHttpRequest request,
+            CompletableFuture<BufferedHttpResponse> response,
+            long timeoutMillis,
+            BooleanSupplier permitted) {
         connect(address).addListener(done -> {
             ChannelFuture connected = (ChannelFuture) done;
             if (connected.isSuccess()) {
@@ -123,7 +140,6 @@
                 response.completeExceptionally(failure(ErrorCode.CONNECTION_FAILED, address));
             }
         });
-        return response;
     }
 
     private ChannelFuture connect(InetSocketAddress address) {
@@ -146,6 +162,7 @@
                 .connect(address);
     }
 
+    /** Sends a request on a connection. Must be called on its event loop. */
     private void exchange(
             Channel channel,
             InetSocketAddress address,
@@ -153,20 +170,18 @@
             CompletableFuture<BufferedHttpResponse> response,
             long timeoutMillis,
             BooleanSupplier permitted) {
-        channel.eventLoop().execute(() -> {
-            if (!permitted.getAsBoolean()) {
-                request.release();
-                channel.close();
-                response.completeExceptionally(failure(ErrorCode.NOT_PERMITTED, address));
-                return;
-            }
-            IdleGuard.requestStarted(channel);
-            channel.pipeline().addLast(new ResponseHandler(address, response));
-            var timer = channel.eventLoop()
-                    .schedule(() -> fail(channel, address, response), timeoutMillis, TimeUnit.MILLISECONDS);
-            response.whenComplete((result, error) -> timer.cancel(false));
-            channel.writeAndFlush(request);
-        });
+        if (!permitted.getAsBoolean()) {
+            request.release();
+            channel.close();
+            response.completeExceptionally(failure(ErrorCode.NOT_PERMITTED, address));
+            return;
+        }
+        IdleGuard.requestStarted(channel);
+        channel.pipeline().addLast(new ResponseHandler(address, response));
+        var timer = channel.eventLoop()
+                .schedule(() -> fail(channel, address, response), timeoutMillis, TimeUnit.MILLISECONDS);
+        response.whenComplete((result, error) -> timer.cancel(false));
+        channel.writeAndFlush(request);
     }
 
     private static void fail(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
@@ -41,8 +41,8 @@
         IdleGuard guard = channel.pipeline().get(IdleGuard.class);
         guard.idle = true;
         if (ResponseCodec.hasUndecodedBytes(channel)) {
-            guard.listener.accept("more than the response");
             channel.close();
+            guard.listener.accept("more than the response");
             return false;
         }
         return true;
@@ -54,11 +54,11 @@
             context.fireChannelRead(message);
             return;
         }
+        context.close();
         if (message instanceof ByteBuf bytes) {
             listener.accept(describe(bytes));
         }
         ReferenceCountUtil.release(message);
-        context.close();
     }
 
     @Override
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -147,6 +147,31 @@
         }
     }
 
+    // Guards against a request that is written to a connection which has closed since it was taken from the pool.
+    @Test
+    void requestUsesANewConnectionIfThePooledOneHasClosedMeanwhile() throws Exception {
+        try (ServerSocket server = serveWithDuplicateResponse(20)) {
+            assertThat(body(send(server.getLocalPort()))).isEqualTo("1");
+            CountDownLatch paused = new CountDownLatch(1);
+            group.execute(() -> awaitUninterruptibly(paused));
+            for (int task = 0; task < 128; task++) {
+                group.execute(() -> {});
+            }
+            Thread.sleep(
+                    1_100); // after a second in tasks the event loop reads from its connections before the next task
+            var next = client.send(
+                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    "GET",
+                    "/",
+                    Map.of(),
+                    new byte[0],
+                    2_000);
+            paused.countDown();
+
+            assertThat(body(next.join())).isEqualTo("1");
+        }
+    }
+
     // Guards against part of a second response that lies in the decoder and merges with the next response.
     @Test
     void connectionThatReceivesPartOfAHeadWhileIdleIsNotReused() throws Exception {
