An answer that contains the head of another one is not completed

What callers got: a success that looked whole and contained a second answer in its body.

Cause: framing alone decided what belongs to a body. Ruled out: using new connections only for answers without a length (the second answer may be to the same request).

Change: EmbeddedHeadFinder looks in the relayed bytes for a status line and a header that names a request which this connection has carried; the attempt then fails as REPEATED_ANSWER, so that the caller's answer is broken off or its stream resumed. It skips to the next 'H' by Netty's search for a byte. A body that quotes an answer to another request passes.

Found on the way: an attempt that failed with the last bytes of an answer was completed all the same (onContent did not look).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/request/AttemptFailure.java
@@ -22,7 +22,7 @@
     UNSIGNED_ANSWER,
     /** The target sent more than a head, or an event of a stream, may have. */
     OVERSIZED_ANSWER,
-    /** A second response to the request came before the first had ended. */
+    /** Another response came before the response to the request had ended. */
     REPEATED_ANSWER,
     /** The time limit for sending passed before the connection was ready; nothing was sent. */
     PERMISSION_ENDED
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -45,6 +45,7 @@
     private Optional<Channel> channel = Optional.empty();
     private Optional<EventStreamSplitter> splitter = Optional.empty();
     private Optional<EventBoundary> boundary = Optional.empty();
+    private Optional<EmbeddedHeadFinder> headFinder = Optional.empty();
     private HttpHeaders responseHeaders = EmptyHttpHeaders.INSTANCE;
     private String contentType = "";
     private int status;
@@ -137,6 +138,7 @@
         }
         TargetConnections.startRequest(open, start.callerRequestId());
         trace.sentOn(open);
+        headFinder = Optional.of(new EmbeddedHeadFinder(id -> TargetConnections.mayHaveCarried(open, id)));
         open.pipeline().addLast(this);
         byte[] body = request.exchange().body();
         HttpHeaders headers = dialect.requestHeaders(
@@ -227,12 +229,16 @@
         if (content.content().isReadable()) {
             forward(context, content.content());
         }
-        if (last) {
+        if (last && !ended) {
             complete(context);
         }
     }
 
     private void forward(ChannelHandlerContext context, ByteBuf bytes) {
+        if (headFinder.map(finder -> finder.add(bytes)).orElse(false)) {
+            fail(AttemptFailure.REPEATED_ANSWER);
+            return;
+        }
         boolean success = HttpStatusClass.valueOf(status) == HttpStatusClass.SUCCESS;
         if (!bodyStarted && success) {
             bodyStarted = true;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -121,6 +121,11 @@
         return carried(channel).count();
     }
 
+    /** Returns whether a connection has carried a request with the id, perhaps the present one; rarely wrong if true. */
+    public static boolean mayHaveCarried(Channel channel, String requestId) {
+        return carried(channel).mayContain(requestId);
+    }
+
     private static CarriedRequests carried(Channel channel) {
         return channel.attr(CARRIED).get();
     }
