--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -121,7 +121,7 @@
         return carried(channel).count();
     }
 
-    /** Returns whether a connection has carried a request with the id, perhaps the present one; rarely wrong if true. */
+    /** Returns whether a connection has carried a request with the id, the present one included; rarely wrong. */
     public static boolean mayHaveCarried(Channel channel, String requestId) {
         return carried(channel).mayContain(requestId);
     }
