A second head is recognized in each spelling that the codec accepts

And a caller whose id looks like a status line, which targets repeat, got 502 for each request and counted against a sound target.

ResponseCodecTest.secondStatusLineOfAnySpellingIsRejected failed in six of eight cases, headerThatRepeatsOneOfTheRequestIsAccepted failed; both pass. MergedHeadTest uses such a reason, no longer ignores exceptions of its callers, and wants each of the 85 next answers where the beginning came with the first one.

The wrong bodies that are left have no second head that names a request.

IdleGuard bears a channel whose handlers are gone. Left as it is: a header whose own value is a status line ("x-upstream-status: HTTP/1.1 200 OK") fails each answer; it cannot be told from a merged head (docs/OPERATIONS.md).

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/IdleGuard.java
@@ -39,6 +39,9 @@
      */
     public static boolean responseEnded(Channel channel) {
         IdleGuard guard = channel.pipeline().get(IdleGuard.class);
+        if (guard == null) {
+            return false; // handlers are removed from a channel that has closed
+        }
         guard.idle = true;
         if (ResponseCodec.hasUndecodedBytes(channel)) {
             channel.close();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -6,14 +6,17 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -22,10 +25,9 @@
  * beginning of a response that was cut off, and the head of the next one.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
-    /** A status line up to the end of a reason phrase or header value, where only a second head puts one. */
-    private static final Pattern STATUS_LINE_AT_END = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}( .*)?$");
-
-    private static final String STATUS_LINE_START = "HTTP/1.";
+    /** The beginning of a status line as the decoder accepts it; it decodes heads to ISO 8859-1. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[0-9]{3,}(\\s|$)", Pattern.CASE_INSENSITIVE);
 
     private final Decoder decoder = new Decoder();
 
@@ -43,29 +45,30 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         if (message instanceof HttpRequest request) {
             decoder.headRequest = HttpMethod.HEAD.equals(request.method());
+            decoder.repeatableValues = statusLines(request.headers());
         }
         super.write(context, message, promise);
     }
 
-    private static boolean isMerged(HttpResponse response) {
-        if (containsStatusLine(response.status().reasonPhrase())) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : response.headers()) {
+    private static Set<String> statusLines(HttpHeaders headers) {
+        Set<String> values = Set.of();
+        for (Map.Entry<String, String> header : headers) {
             if (containsStatusLine(header.getValue())) {
-                return true;
+                values = new HashSet<>(values);
+                values.add(header.getValue());
             }
         }
-        return false;
+        return values;
     }
 
     private static boolean containsStatusLine(String text) {
-        return text.contains(STATUS_LINE_START)
-                && STATUS_LINE_AT_END.matcher(text).find();
+        return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
     }
 
     private static final class Decoder extends HttpResponseDecoder {
         private boolean headRequest;
+        /** Values of the request's headers that look like a status line; a server may repeat them. */
+        private Set<String> repeatableValues = Set.of();
 
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output) throws Exception {
@@ -85,6 +88,19 @@
             return headRequest || super.isContentAlwaysEmpty(message);
         }
 
+        private boolean isMerged(HttpResponse response) {
+            if (containsStatusLine(response.status().reasonPhrase())) {
+                return true;
+            }
+            for (Map.Entry<String, String> header : response.headers()) {
+                String value = header.getValue();
+                if (containsStatusLine(value) && !repeatableValues.contains(value)) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         private int undecodedBytes() {
             return actualReadableBytes();
         }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MergedHeadTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MergedHeadTest.java
@@ -6,10 +6,13 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,11 +26,12 @@
     private static final String SECOND_ANSWER =
             "HTTP/1.1 STATUS Reason\r\ncontent-type: text/plain\r\nid: ID\r\nseal: s\r\ncontent-length: 5\r\n\r\n";
     private static final String NEXT_ANSWER =
-            "HTTP/1.1 STATUS Own\r\nid: ID\r\nseal: own\r\ncontent-length: 3\r\n\r\nown";
+            "HTTP/1.1 STATUS Błąd\r\nid: ID\r\nseal: own\r\ncontent-length: 3\r\n\r\nown";
     private static final String FIRST_BODY = "right";
     private static final long SEPARATE_READ_MILLIS = 4;
     private static final int CALLERS = 6;
-    private static final int CALLER_TIMEOUT_MILLIS = 400;
+    private static final int CALLER_TIMEOUT_MILLIS = 4_000;
+    private static final int TIMEOUT_FOR_THE_REST_OF_A_HEAD_MILLIS = 400;
 
     /** Where the beginning of the second answer arrives. */
     private enum Place {
@@ -55,13 +59,16 @@
         String next = NEXT_ANSWER.replace("STATUS", String.valueOf(nextStatus));
         Queue<String> wrong = new ConcurrentLinkedQueue<>();
         AtomicInteger sealed = new AtomicInteger();
+        int timeoutMillis =
+                place == Place.WITH_THE_FIRST_ANSWER ? CALLER_TIMEOUT_MILLIS : TIMEOUT_FOR_THE_REST_OF_A_HEAD_MILLIS;
+        List<Future<Void>> outcomes = new ArrayList<>();
         start(RouteKind.SAFE, false, (socket, id, number) -> respond(socket, id, number, second, next, place));
 
         try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
             for (int cut = 1; cut <= second.length(); cut++) {
                 int bytes = cut;
-                callers.submit(() -> {
-                    String answer = callTwice("first-" + bytes, "next-" + bytes);
+                outcomes.add(callers.submit(() -> {
+                    String answer = callTwice("first-" + bytes, "next-" + bytes, timeoutMillis);
                     if (!answer.contains("seal: own")) {
                         return null;
                     }
@@ -70,12 +77,17 @@
                         wrong.add("after \"" + second.substring(0, bytes) + "\": " + answer);
                     }
                     return null;
-                });
+                }));
             }
         }
+        for (Future<Void> outcome : outcomes) {
+            outcome.get();
+        }
 
         assertThat(wrong).isEmpty();
-        assertThat(sealed).hasPositiveValue();
+        // With the first answer the beginning is noticed before the next request, which then has a new connection.
+        int expected = place == Place.WITH_THE_FIRST_ANSWER ? second.length() : 1;
+        assertThat(sealed).hasValueGreaterThanOrEqualTo(expected);
     }
 
     private static void respond(Socket socket, String id, int number, String second, String next, Place place)
@@ -99,9 +111,9 @@
     }
 
     /** Sends two requests, the second some time after the first answer, and returns what comes for the second. */
-    private String callTwice(String first, String next) throws IOException {
+    private String callTwice(String first, String next, int timeoutMillis) throws IOException {
         try (Socket socket = new Socket(LOOPBACK, server.port())) {
-            socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
+            socket.setSoTimeout(timeoutMillis);
             send(socket, "GET /x HTTP/1.1\r\nhost: host\r\nid: " + first + "\r\n\r\n");
             readHead(socket.getInputStream());
             socket.getInputStream().readNBytes(FIRST_BODY.length());
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
@@ -57,6 +57,42 @@
         assertThat(head.decoderResult().cause()).isInstanceOf(MergedHeadException.class);
     }
 
+    // Guards against spellings of a status line that the codec accepts and the check for a second head does not know.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 500 Błąd serwera",
+                "HTTP/1.1 500 Å",
+                "HTTP/1.1  500 Broken",
+                "HTTP/1.1\t500\tBroken",
+                "HTTP/2.0 500 Broken",
+                "http/1.1 500 Broken",
+                "HTTP/1.1 600 Broken",
+                "HTTP/1.1 500",
+            })
+    void secondStatusLineOfAnySpellingIsRejected(String statusLine) {
+        request(HttpMethod.GET);
+
+        receive("HTTP/1.1 200 OK\r\nserver: a" + statusLine + "\r\ncontent-length: 2\r\n\r\nno");
+
+        HttpObject head = channel.readInbound();
+        assertThat(head.decoderResult().cause()).isInstanceOf(MergedHeadException.class);
+    }
+
+    // Guards against a caller whose id looks like a status line and comes back in each answer to it.
+    @Test
+    void headerThatRepeatsOneOfTheRequestIsAccepted() {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+        request.headers().set("id", "HTTP/1.1 200 OK");
+        channel.writeOutbound(request);
+
+        receive("HTTP/1.1 200 OK\r\nid: HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+
+        HttpObject head = channel.readInbound();
+        assertThat(head.decoderResult().isSuccess()).isTrue();
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {"via: HTTP/1.1 proxy", "via: 1.1 a, HTTP/1.0 b (c)", "upgrade: HTTP/2.0", "x: 200 HTTP/1.1"})
