A second head in a body counts by the header that names requests

Found by the review: any header in an embedded head counted if its value was among the ids that callers had chosen, so that a body that quotes "Content-Type: text/html" was broken off after a request with the id text/html; and heads after a partial head, an interim one or a folded line were missed.

TargetDialect tells which header names a request. EmbeddedHeadFinder begins anew at each status line.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -138,7 +138,8 @@
         }
         TargetConnections.startRequest(open, start.callerRequestId());
         trace.sentOn(open);
-        headFinder = Optional.of(new EmbeddedHeadFinder(id -> TargetConnections.mayHaveCarried(open, id)));
+        headFinder = Optional.of(new EmbeddedHeadFinder((name, value) ->
+                dialect.isRequestId(name) && !value.isEmpty() && TargetConnections.mayHaveCarried(open, value)));
         open.pipeline().addLast(this);
         byte[] body = request.exchange().body();
         HttpHeaders headers = dialect.requestHeaders(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinder.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinder.java
@@ -1,7 +1,7 @@
 package org.jackdawbeam.net.fleet;
 
 import io.netty.buffer.ByteBuf;
-import java.util.function.Predicate;
+import java.util.function.BiPredicate;
 import java.util.regex.Pattern;
 
 /**
@@ -11,19 +11,25 @@
  * Not thread-safe.
  */
 final class EmbeddedHeadFinder {
-    private static final String START = "HTTP/1.";
-    private static final Pattern REST_OF_STATUS_LINE = Pattern.compile("[01] [1-5][0-9]{2}( .*)?");
+    private static final String START = "HTTP/";
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[0-9]{3,}(\\s.*)?", Pattern.DOTALL);
     private static final int MAXIMUM_HEAD_BYTES = 8_192; // as much as the codec accepts for a head
 
-    private final Predicate<String> isCarriedRequest;
+    private final BiPredicate<String, String> namesCarriedRequest;
     private final StringBuilder line = new StringBuilder();
     private int matched;
     private int headBytes;
     private boolean statusLineRead;
     private boolean found;
 
-    EmbeddedHeadFinder(Predicate<String> isCarriedRequest) {
-        this.isCarriedRequest = isCarriedRequest;
+    /**
+     * Creates a finder for one body.
+     *
+     * @param namesCarriedRequest whether a header, by name and value, names a request that the connection has carried
+     */
+    EmbeddedHeadFinder(BiPredicate<String, String> namesCarriedRequest) {
+        this.namesCarriedRequest = namesCarriedRequest;
     }
 
     /** Examines the next bytes of the body and returns whether a head has been found so far. */
@@ -45,35 +51,40 @@
     private void next(byte value) {
         if (matched < START.length()) {
             matched = value == START.charAt(matched) ? matched + 1 : value == START.charAt(0) ? 1 : 0;
+            if (matched == START.length()) {
+                line.append(START);
+            }
             return;
         }
         headBytes++;
         if (headBytes > MAXIMUM_HEAD_BYTES) {
             startOver();
         } else if (value == '\n') {
-            endLine(line.toString().trim());
+            String text = line.toString();
+            line.setLength(0);
+            endLine(text);
         } else {
             line.append((char) (value & 0xff));
         }
     }
 
     private void endLine(String text) {
-        line.setLength(0);
-        if (!statusLineRead) {
-            int again = text.lastIndexOf(START);
-            String rest = again < 0 ? text : text.substring(again + START.length());
-            statusLineRead = REST_OF_STATUS_LINE.matcher(rest).matches();
-            if (!statusLineRead) {
-                startOver();
-            }
+        int start = text.lastIndexOf(START);
+        if (start >= 0 && STATUS_LINE.matcher(text.substring(start)).matches()) {
+            statusLineRead = true;
+            headBytes = 0;
             return;
         }
+        boolean continuesLine = text.startsWith(" ") || text.startsWith("\t");
         int colon = text.indexOf(':');
-        if (colon < 0) {
+        if (!statusLineRead || colon < 0 && !continuesLine) {
             startOver();
             return;
         }
-        found = isCarriedRequest.test(text.substring(colon + 1).trim());
+        found = !continuesLine
+                && namesCarriedRequest.test(
+                        text.substring(0, colon).trim(),
+                        text.substring(colon + 1).trim());
     }
 
     private void startOver() {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/TargetDialect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/TargetDialect.java
@@ -21,6 +21,9 @@
     /** Reads the headers of a response. */
     ResponseHead read(HttpResponse response, String callerRequestId);
 
+    /** Returns whether a header of a response names the request that the response belongs to. */
+    boolean isRequestId(String headerName);
+
     /** Returns the headers of a target's response that are relayed to the caller. */
     HttpHeaders responseHeaders(HttpHeaders targetHeaders);
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/RelayHarness.java
@@ -274,6 +274,11 @@
                     1_000);
         }
 
+        @Override
+        public boolean isRequestId(String headerName) {
+            return headerName.equalsIgnoreCase("id");
+        }
+
         @Override
         public HttpHeaders responseHeaders(HttpHeaders targetHeaders) {
             return targetHeaders.copy();
