--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
@@ -88,13 +88,19 @@
         }
     }
 
-    synchronized void start() {
+    void start() {
+        start(List.of());
+    }
+
+    /** Starts the entry with further options of the Java runtime. */
+    synchronized void start(List<String> runtimeOptions) {
         if (closed) {
             return;
         }
-        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        List<String> command = List.of(
-                java,
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(runtimeOptions);
+        command.addAll(List.of(
                 "-Xmx160m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
@@ -107,7 +113,7 @@
                 "--metrics-port",
                 "0",
                 "--settings",
-                settingsFile().toString());
+                settingsFile().toString()));
         try {
             Path log = folder.resolve(name + ".log");
             runs.add(new ProcessBuilder(command)
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EntrySignalTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EntrySignalTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -37,4 +38,19 @@
             assertThat(entry.exitCode()).isEmpty();
         }
     }
+
+    // Guards against a SIGHUP that ends the process while it parses its command line, the longest part of its start.
+    @Test
+    void reloadBeforeTheCommandLineIsParsedIsDoneAfterTheStart() throws Exception {
+        try (SoakSite site = new SoakSite(1, folder)) {
+            EntryProcess entry = site.entries().getFirst();
+            entry.start(List.of("-Xlog:class+load=info:stdout:none"));
+            awaitLine(entry, "picocli.CommandLine$Model$CommandSpec ");
+
+            entry.signal("HUP");
+            awaitLine(entry, "event=settings_reloaded");
+
+            assertThat(entry.exitCode()).isEmpty();
+        }
+    }
 }
