AttemptHandlerTest: the engine's socket stays open until the test ends

Cause: the test's engine held its accepted socket by a local variable of run() only. After run() nothing refers to it, and a garbage collection closes it. The engine has not read the request, so the close is a reset, and bytes not yet sent are gone before the entry's side has read 256 KB without an event.

Ruled out in the product, by reading: an attempt ends as CONNECTION_LOST only after a failed read, a close, the end of a stream without its end marker, or an exception of a handler; the oversized answer is reported before its connection is closed, and the first report counts.

Change: the socket is a field and is closed after each test; the checks are the same. PeerConnectionsTest held sockets by local variables too and never closed them; they are kept and closed likewise. The other tests that open sockets close them by try-with-resources in the thread that uses them, or hold them in fields.

--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerConnectionsTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerConnectionsTest.java
@@ -8,7 +8,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,6 +29,8 @@
     private final PeerConnections<PeerMessage> connections =
             new PeerConnections<>(group, MessageMapper.messagePack(), nowMillis::get);
     private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+    // Keeps the sockets open: the garbage collector closes sockets that nothing refers to.
+    private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
     private ServerSocket server;
     private String address;
 
@@ -41,6 +45,9 @@
     void stop() throws IOException {
         connections.close();
         server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
         group.shutdownGracefully();
     }
 
@@ -75,7 +82,9 @@
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
-                accepted.add(server.accept());
+                Socket socket = server.accept();
+                sockets.add(socket);
+                accepted.add(socket);
             } catch (IOException e) {
                 return;
             }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -54,6 +54,7 @@
     private ServerSocket engine;
     private HttpServer server;
     private Socket caller;
+    private Socket accepted;
 
     @BeforeEach
     void open() throws IOException {
@@ -66,6 +67,9 @@
     @AfterEach
     void close() throws IOException {
         caller.close();
+        if (accepted != null) {
+            accepted.close();
+        }
         server.close();
         engine.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -88,7 +92,8 @@
                 new AtomicBoolean());
         CompletableFuture<Channel> opened = new CompletableFuture<>();
         connections.acquireNew(address, channel -> opened.complete(channel.orElseThrow()));
-        Socket accepted = engine.accept();
+        // A field keeps it open: the garbage collector closes sockets that nothing refers to.
+        accepted = engine.accept();
         Channel channel = opened.get();
         channel.eventLoop()
                 .submit(() -> {
