Soak: targets answer a second time, and callers must get what was answered first

The proxy notes in TargetLedger status and seal of each first answer. `own_answer` now demands of each answer with a seal, of any status, that a target gave this status and seal first to this request; bodies of failures of services are compared too. Bodies of streams that end with a failure are not compared.

--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultInjector.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultInjector.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGeneratorFactory;
 import org.jackdawbeam.standin.fleet.StoreFaults;
 
 /** Injects the faults of a plan and removes each after its duration, on the threads of the timer. */
@@ -121,6 +122,12 @@
                 site.fleet().crash(target);
                 after(fault.durationMillis(), () -> site.restartTarget(target));
             }
+            case SECOND_ANSWERS -> {
+                recordDisturbance(GuaranteeChecker.TARGETS, fault.durationMillis() + SETTLE_MILLIS);
+                proxy.answerTwice(Optional.of(
+                        RandomGeneratorFactory.of("L64X128MixRandom").create(fault.number())));
+                after(fault.durationMillis(), () -> proxy.answerTwice(Optional.empty()));
+            }
             case DRAIN_TARGET -> {
                 site.fleet().targets().get(target).drain();
                 after(Math.max(fault.durationMillis(), DRAIN_MILLIS), () -> {
@@ -169,6 +176,7 @@
         proxy.refuse(false);
         proxy.hold(false, false);
         proxy.delay(0);
+        proxy.answerTwice(Optional.empty());
     }
 
     private void kill(int entry, long millis) {
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultKind.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultKind.java
@@ -46,6 +46,8 @@
     CRASH_TARGET(Location.TARGET, 8),
     /** A target announces that it is leaving, and is replaced at the end. */
     DRAIN_TARGET(Location.TARGET, 8),
+    /** A target answers some requests a second time; see {@link SecondAnswers}. Drawn apart from the other kinds. */
+    SECOND_ANSWERS(Location.TARGET, 0),
     /** A new configuration replaces the rotated key by a new one. */
     CHANGE_CONFIGURATION(Location.CONFIGURATION, 12);
 
@@ -71,7 +73,7 @@
         return location;
     }
 
-    /** Returns the relative frequency of the kind. */
+    /** Returns the relative frequency of the kind; zero if the plan draws it apart. */
     int weight() {
         return weight;
     }
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultProxy.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/FaultProxy.java
@@ -17,8 +17,11 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.jackdawbeam.standin.fleet.TargetLedger;
 
 /**
  * TCP proxy for an address on this host, which can delay, hold, refuse or reset connections. Held bytes stay in order
@@ -31,14 +34,26 @@
     private final Supplier<InetSocketAddress> destination;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Channel server;
+    private final Optional<TargetLedger> ledger;
     private volatile long delayMillis;
     private volatile boolean holdingRequests;
     private volatile boolean holdingAnswers;
     private volatile boolean refusing;
+    private volatile Optional<RandomGenerator> secondAnswers = Optional.empty();
 
     /** Listens on a free port; the destination is looked up for each connection. */
     public FaultProxy(EventLoopGroup group, Supplier<InetSocketAddress> destination) {
+        this(group, destination, Optional.empty());
+    }
+
+    /**
+     * Listens on a free port; the destination is looked up for each connection.
+     *
+     * @param ledger of the target that is the destination; records what the target answers first
+     */
+    FaultProxy(EventLoopGroup group, Supplier<InetSocketAddress> destination, Optional<TargetLedger> ledger) {
         this.group = group;
+        this.ledger = ledger;
         this.destination = destination;
         this.server = new ServerBootstrap()
                 .group(group)
@@ -84,6 +99,11 @@
         }
     }
 
+    /** Lets the target send answers a second time as the generator draws; empty ends that for new answers. */
+    public void answerTwice(Optional<RandomGenerator> random) {
+        secondAnswers = random;
+    }
+
     /** Resets all connections. */
     public void reset() {
         channels.forEach(FaultProxy::resetConnection);
@@ -130,10 +150,14 @@
     private final class Relay extends ChannelInboundHandlerAdapter {
         private final Channel other;
         private final boolean carriesRequests;
+        private final Optional<SecondAnswers> answers;
 
         Relay(Channel other, boolean carriesRequests) {
             this.other = other;
             this.carriesRequests = carriesRequests;
+            this.answers = carriesRequests
+                    ? Optional.empty()
+                    : ledger.map(known -> new SecondAnswers(other, known, () -> secondAnswers));
         }
 
         @Override
@@ -161,11 +185,13 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
-            other.writeAndFlush((ByteBuf) message).addListener(written -> {
-                if (written.isSuccess()) {
-                    context.read();
-                }
-            });
+            ByteBuf bytes = (ByteBuf) message;
+            other.writeAndFlush(answers.map(all -> all.pass(bytes)).orElse(bytes))
+                    .addListener(written -> {
+                        if (written.isSuccess()) {
+                            context.read();
+                        }
+                    });
         }
 
         @Override
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/GuaranteeChecker.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/GuaranteeChecker.java
@@ -89,19 +89,25 @@
     }
 
     private void checkAnswer(Call call, Outcome.Answered answered) {
-        if (answered.status() != 200) {
-            return;
+        String seal = answered.headers().getOrDefault("server-seal", "");
+        if (answered.status() != 200 && seal.isEmpty()) {
+            return; // refused by the entry
         }
-        boolean matches = call.requestId().equals(answered.headers().get("request-id"))
-                && answered.headers().getOrDefault("server-seal", "").endsWith("." + call.requestId());
+        boolean matches =
+                call.requestId().equals(answered.headers().get("request-id")) && seal.endsWith("." + call.requestId());
         if (!matches) {
             recordViolation("own_answer", "response belongs to another request: " + call);
+        } else if (!ledger.hasAnswered(call.requestId(), answered.status(), seal)) {
+            recordViolation("own_answer", "no target answered the request first with this status and seal: " + call);
+        }
+        if (answered.status() >= 500 && call.kind().streaming()) {
+            return; // a stream whose target failed may end early
         }
         boolean whole = call.kind().streaming()
                 ? eventNumbers(answered.body()).equals(expectedEventNumbers())
                 : answered.body().equals("done " + call.requestId());
         if (!whole) {
-            recordViolation("whole_answer", "response with status 200 is incomplete or has extra content: " + call);
+            recordViolation("whole_answer", "response is incomplete or has extra content: " + call);
         }
         if (answered.status() == 200 && call.endedAtMillis() - call.sentAtMillis() > ROUTE_TIMEOUT_MILLIS) {
             checkTimeout(call);
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/SoakSite.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/SoakSite.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jackdawbeam.net.target.TargetAddress;
@@ -38,7 +39,8 @@
         int firstPort = PortBlock.find(entryCount * PORTS_PER_ENTRY);
         for (int number = 0; number < MODELS.size(); number++) {
             int target = number;
-            FaultProxy proxy = new FaultProxy(group, () -> TargetAddress.parse(fleet.address(target)));
+            FaultProxy proxy = new FaultProxy(
+                    group, () -> TargetAddress.parse(fleet.address(target)), Optional.of(fleet.ledger()));
             targetProxies.add(proxy);
             fleet.advertise(number, proxy.address());
         }
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/GuaranteeCheckerTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/GuaranteeCheckerTest.java
@@ -8,6 +8,8 @@
 import org.jackdawbeam.standin.fleet.FleetSite;
 import org.jackdawbeam.standin.fleet.TargetLedger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Violates each guarantee and checks that the violation is reported. */
 class GuaranteeCheckerTest {
@@ -24,10 +26,19 @@
         return call(kind, FleetSite.KEY, SENT, SENT + 100, outcome);
     }
 
-    private static Outcome answer(int status, String body) {
+    private Outcome answer(int status, String body) {
+        ledger.recordAnswer("r1", status, "engine.r1");
+        return sealed(status, body);
+    }
+
+    private static Outcome sealed(int status, String body) {
         return new Outcome.Answered(status, Map.of("request-id", "r1", "server-seal", "engine.r1"), body);
     }
 
+    private static Outcome refusal(int status) {
+        return new Outcome.Answered(status, Map.of("request-id", "r1"), "");
+    }
+
     private static String events(int from, int to) {
         return IntStream.rangeClosed(from, to)
                 .mapToObj(number -> "id: " + number + "\ndata: token\n\n")
@@ -65,7 +76,7 @@
     @Test
     void refusalOfARequestThatRan() {
         execute(1);
-        checker.check(call(RequestKind.PAYMENT, answer(503, "")));
+        checker.check(call(RequestKind.PAYMENT, refusal(503)));
 
         assertViolation("true_refusal");
     }
@@ -79,6 +90,41 @@
         assertViolation("own_answer");
     }
 
+    // Guards against the status of one answer with the id, seal and body of another.
+    @ParameterizedTest
+    @CsvSource({"200, 500", "500, 200"})
+    void answerWithAnotherStatusThanTheTargetGaveFirst(int first, int received) {
+        ledger.recordAnswer("r1", first, "engine.r1");
+        checker.check(call(RequestKind.PAYMENT, sealed(received, "done r1")));
+
+        assertViolation("own_answer");
+    }
+
+    // Guards against the answer of a target that never got the request.
+    @Test
+    void answerWithTheSealOfAnotherTarget() {
+        ledger.recordAnswer("r1", 200, "engine-2.r1");
+        checker.check(call(RequestKind.PAYMENT, sealed(200, "done r1")));
+
+        assertViolation("own_answer");
+    }
+
+    // Guards against a failure of the target whose body is cut off or that of another request.
+    @Test
+    void failureOfATargetWithAnotherBody() {
+        checker.check(call(RequestKind.PAYMENT, answer(500, "done r2")));
+
+        assertViolation("whole_answer");
+    }
+
+    @Test
+    void failureOfATargetThatArrivesAsGivenViolatesNothing() {
+        checker.check(call(RequestKind.PAYMENT, answer(500, "done r1")));
+        checker.checkWholeRun();
+
+        assertThat(checker.violations()).isEmpty();
+    }
+
     @Test
     void streamThatLooksCompleteWithoutItsEnd() {
         checker.check(call(RequestKind.CHAT, answer(200, events(1, 4))));
@@ -95,7 +141,7 @@
 
     @Test
     void validKeyThatIsDenied() {
-        checker.check(call(RequestKind.READ, answer(401, "")));
+        checker.check(call(RequestKind.READ, refusal(401)));
 
         assertViolation("denied");
     }
@@ -138,7 +184,7 @@
     @Test
     void newKeyThatAnUndisturbedEntryDoesNotKnow() {
         checker.recordWithdrawal(new GuaranteeChecker.Withdrawal("old", "new", SENT - 3_000));
-        checker.check(call(RequestKind.READ, "new", SENT, SENT + 100, answer(401, "")));
+        checker.check(call(RequestKind.READ, "new", SENT, SENT + 100, refusal(401)));
 
         assertViolation("configuration");
     }
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/fleet/TargetLedger.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,6 +13,7 @@
 /** Records requests and orders that the targets execute, so that tests can check the guarantees. Thread-safe. */
 public final class TargetLedger {
     private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final Map<String, Set<Answer>> answers = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> rejections = new ConcurrentHashMap<>();
     private final Map<String, Long> leavingSinceMillis = new ConcurrentHashMap<>();
     private final Map<Long, String> holdersByToken = new ConcurrentHashMap<>();
@@ -19,6 +21,8 @@
     private final ConcurrentLinkedQueue<String> reusedFencingTokens = new ConcurrentLinkedQueue<>();
     private final AtomicReference<String> receivedKey = new AtomicReference<>("");
 
+    private record Answer(int status, String seal) {}
+
     /**
      * The start of a request on a target.
      *
@@ -35,6 +39,16 @@
                 requestId, target, workspace, System.currentTimeMillis(), leavingSinceMillis.getOrDefault(target, 0L)));
     }
 
+    /** Records the first answer of a target to a request. */
+    public void recordAnswer(String requestId, int status, String seal) {
+        answers.computeIfAbsent(requestId, id -> ConcurrentHashMap.newKeySet()).add(new Answer(status, seal));
+    }
+
+    /** Returns whether a target's first answer to the request had this status and seal. */
+    public boolean hasAnswered(String requestId, int status, String seal) {
+        return answers.getOrDefault(requestId, Set.of()).contains(new Answer(status, seal));
+    }
+
     void recordKey(String key) {
         receivedKey.set(key);
     }
