--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/MergedHeadException.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/MergedHeadException.java
@@ -1,10 +1,13 @@
 package org.jackdawbeam.net.http;
 
+import org.jackdawbeam.model.error.ErrorCode;
+import org.jackdawbeam.model.error.JackdawbeamException;
+
 /** A head of a response contains the beginning of another head. */
-public final class MergedHeadException extends RuntimeException {
+public final class MergedHeadException extends JackdawbeamException {
     private static final long serialVersionUID = 1L;
 
     MergedHeadException() {
-        super("a status line within a head", null, false, false);
+        super(ErrorCode.MESSAGE_MALFORMED, "a status line within the head of a response");
     }
 }
