Logs and metrics tell the first bytes and the longest pause of each answer

A stream is late if its first event comes after its objective or if two events are further apart than the route's limit on pauses.

attempt_ended tells first_body_ms and longest_pause_ms, attempt_started the prompt tokens that its estimate is made of. Two histograms tell the same without logs. No decision changes.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
@@ -95,7 +95,7 @@
         queue.after(RUN_MILLIS, () -> {
             if (!cancelled.remove(attempt)) {
                 fleet.answerAttempt(member, attempt, LINK_MILLIS, 200, false);
-                fleet.submitLater(member, LINK_MILLIS, now -> new FleetEvent.AttemptCompleted(now, attempt));
+                fleet.submitLater(member, LINK_MILLIS, now -> new FleetEvent.AttemptCompleted(now, attempt, 0));
                 checker.completed(start.callerRequestId());
             }
         });
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/ServingTargets.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/policy/ServingTargets.java
@@ -75,7 +75,7 @@
 
     private void end(FleetSimulation fleet, SimulatedMember member, FleetEffect.StartAttempt start) {
         senders.remove(start.attempt());
-        fleet.submitLater(member, LINK_MILLIS, now -> new FleetEvent.AttemptCompleted(now, start.attempt()));
+        fleet.submitLater(member, LINK_MILLIS, now -> new FleetEvent.AttemptCompleted(now, start.attempt(), 0));
         measurement.recordCompletion(start.callerRequestId(), queue.nowMillis());
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -292,6 +292,8 @@
                 late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
                 choice.estimateMillis(),
+                choice.prefillTokens(),
+                choice.queuedAheadTokens(),
                 request.traits()));
         PrefillStatistics statistics = state.prefillStatistics(request.service())
                 .withSentPrompt(request.call().inputTokens(), choice.prefillTokens());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEffect.java
@@ -53,6 +53,8 @@
      * @param priority priority at the target
      * @param resumable whether only complete events may be relayed
      * @param estimateMillis expected time to the first byte
+     * @param prefillTokens prompt tokens that the target is expected to process for the request
+     * @param queuedAheadTokens prompt tokens of other requests that it is expected to process first
      * @param traits request properties for the log
      */
     record StartAttempt(
@@ -65,6 +67,8 @@
             int priority,
             boolean resumable,
             long estimateMillis,
+            long prefillTokens,
+            long queuedAheadTokens,
             RequestTraits traits)
             implements FleetEffect {}
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetEvent.java
@@ -116,8 +116,12 @@
     /** The first bytes of an answer's body arrived. */
     record AttemptStreaming(long nowMillis, AttemptId attempt) implements FleetEvent {}
 
-    /** An answer is complete. */
-    record AttemptCompleted(long nowMillis, AttemptId attempt) implements FleetEvent {}
+    /**
+     * An answer is complete.
+     *
+     * @param longestPauseMillis longest time between two parts of its body as they arrived; 0 with fewer than two
+     */
+    record AttemptCompleted(long nowMillis, AttemptId attempt, long longestPauseMillis) implements FleetEvent {}
 
     /** The end of a complete answer waits in this process, because its caller reads slowly. */
     record AnswerBuffered(long nowMillis, long requestId) implements FleetEvent {}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -137,7 +137,7 @@
             return;
         }
         TargetConnections.startRequest(open, start.callerRequestId());
-        trace.sentOn(open);
+        trace.sentOn(open, nowMillis);
         headFinder = Optional.of(new EmbeddedHeadFinder((name, value) ->
                 dialect.isRequestId(name) && !value.isEmpty() && TargetConnections.mayHaveCarried(open, value)));
         open.pipeline().addLast(this);
@@ -245,7 +245,7 @@
             bodyStarted = true;
             loop.submit(new FleetEvent.AttemptStreaming(loop.nowMillis(), start.attempt()));
         }
-        trace.relayed(bytes.readableBytes());
+        trace.relayed(bytes.readableBytes(), loop.nowMillis());
         boundary.ifPresent(end -> end.add(bytes));
         ByteBuf part = splitter.map(open -> open.add(bytes)).orElseGet(bytes::retain);
         if (splitter.map(EventStreamSplitter::isTooLong).orElse(false)) {
@@ -284,7 +284,7 @@
             context.close();
         }
         onComplete.run();
-        loop.submit(new FleetEvent.AttemptCompleted(loop.nowMillis(), start.attempt()));
+        loop.submit(new FleetEvent.AttemptCompleted(loop.nowMillis(), start.attempt(), trace.longestPauseMillis()));
         if (!callerWritten.isDone()) {
             long id = start.attempt().requestId();
             loop.submit(new FleetEvent.AnswerBuffered(loop.nowMillis(), id));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptTrace.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptTrace.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import java.util.OptionalLong;
 import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
 import org.jackdawbeam.net.target.TargetConnections;
 import org.tinylog.Logger;
@@ -22,13 +23,18 @@
     private String signature = NONE;
     private String framing = NONE;
     private long bodyBytes;
+    private long sentAtMillis;
+    private OptionalLong firstBodyMillis = OptionalLong.empty();
+    private long lastBodyAtMillis;
+    private long longestPauseMillis;
 
     AttemptTrace(StartAttempt start) {
         this.start = start;
     }
 
     /** Records the connection on which the request is sent. */
-    void sentOn(Channel channel) {
+    void sentOn(Channel channel, long nowMillis) {
+        sentAtMillis = nowMillis;
         connection = TargetConnections.connectionNumber(channel);
         place = TargetConnections.requestCount(channel);
     }
@@ -41,8 +47,19 @@
     }
 
     /** Records bytes of the answer's body that are relayed. */
-    void relayed(int bytes) {
+    void relayed(int bytes, long nowMillis) {
         bodyBytes += bytes;
+        if (firstBodyMillis.isEmpty()) {
+            firstBodyMillis = OptionalLong.of(nowMillis - sentAtMillis);
+        } else {
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastBodyAtMillis);
+        }
+        lastBodyAtMillis = nowMillis;
+    }
+
+    /** Returns the longest time between two parts of the answer's body; 0 with fewer than two parts. */
+    long longestPauseMillis() {
+        return longestPauseMillis;
     }
 
     /** Logs the first response to another request; a target may send any number of them. */
@@ -63,7 +80,8 @@
     void logEnd(String outcome) {
         Logger.info(
                 "event=attempt_ended request={} request_number={} attempt={} target={} started_at={} connection={}"
-                        + " place={} status={} signature={} framing={} body_bytes={} outcome={}",
+                        + " place={} status={} signature={} framing={} body_bytes={} first_body_ms={}"
+                        + " longest_pause_ms={} outcome={}",
                 start.callerRequestId(),
                 start.attempt().requestId(),
                 start.attempt().number(),
@@ -75,6 +93,8 @@
                 signature,
                 framing,
                 bodyBytes,
+                firstBodyMillis.orElse(-1),
+                longestPauseMillis,
                 outcome);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLog.java
@@ -28,13 +28,15 @@
             case FleetEffect.StartAttempt start ->
                 Logger.info(
                         "event=attempt_started request={} request_number={} attempt={} target={} deadline_ms={}"
-                                + " estimate_ms={} priority={} configuration={}{}",
+                                + " estimate_ms={} prefill_tokens={} queued_tokens={} priority={} configuration={}{}",
                         start.callerRequestId(),
                         start.attempt().requestId(),
                         start.attempt().number(),
                         start.target().id(),
                         start.expiresAtMillis() - cause.nowMillis(),
                         start.estimateMillis(),
+                        start.prefillTokens(),
+                        start.queuedAheadTokens(),
                         start.priority(),
                         version(state),
                         pairs(start.traits().fields()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -33,6 +33,8 @@
     private final Counter orders;
     private final Counter brokenAnswers;
     private final Histogram answerSeconds;
+    private final Histogram firstBodySeconds;
+    private final Histogram longestPauseSeconds;
     private final Gauge openRequests;
     private final Gauge configurationVersion;
     private final Gauge placementDuty;
@@ -54,13 +56,13 @@
         this.storeReads = counter("jackdawbeam_store_reads_total", "Reads of the store.", "feed", "result");
         this.orders = counter("jackdawbeam_orders_total", "Orders to engines by response.", "action", "response");
         this.brokenAnswers = counter("jackdawbeam_broken_answers_total", "Answers that ended before they were whole.");
-        this.answerSeconds = Histogram.builder()
-                .name("jackdawbeam_answer_seconds")
-                .help("Time from sending a request to a target until the head of its answer.")
-                .classicOnly()
-                .classicUpperBounds(LATENCY_SECONDS)
-                .withoutExemplars()
-                .register(registry);
+        this.answerSeconds = histogram(
+                "jackdawbeam_answer_seconds", "Time from sending a request to a target until the head of its answer.");
+        this.firstBodySeconds = histogram(
+                "jackdawbeam_first_body_seconds",
+                "Time from sending a request to a target until the first bytes of the answer's body.");
+        this.longestPauseSeconds = histogram(
+                "jackdawbeam_longest_pause_seconds", "Longest time between two parts of the body of a whole answer.");
         this.openRequests = gauge("jackdawbeam_open_requests", "Requests that have not ended.");
         this.configurationVersion = gauge("jackdawbeam_configuration_version", "Version in force.");
         this.placementDuty = gauge("jackdawbeam_placement_duty", "1 while this entry gives orders to engines.");
@@ -100,6 +102,11 @@
             case FleetEvent.FeedFailed failed ->
                 storeReads.labelValues(failed.feed().name(), "failed").inc();
             case FleetEvent.AttemptAnswered answered -> onAnswered(answered);
+            case FleetEvent.AttemptStreaming streaming -> onStreaming(streaming);
+            case FleetEvent.AttemptCompleted completed -> {
+                startedAt.remove(completed.attempt());
+                longestPauseSeconds.observe(completed.longestPauseMillis() / MILLIS_PER_SECOND);
+            }
             case FleetEvent.AttemptFailed failed -> {
                 startedAt.remove(failed.attempt());
                 attempts.labelValues(failed.failure().name()).inc();
@@ -149,13 +156,30 @@
     }
 
     private void onAnswered(FleetEvent.AttemptAnswered answered) {
-        Long started = startedAt.remove(answered.attempt());
+        Long started = startedAt.get(answered.attempt());
         if (started != null) {
             answerSeconds.observe((answered.nowMillis() - started) / MILLIS_PER_SECOND);
         }
         attempts.labelValues("STATUS_" + answered.status()).inc();
     }
 
+    private void onStreaming(FleetEvent.AttemptStreaming streaming) {
+        Long started = startedAt.remove(streaming.attempt());
+        if (started != null) {
+            firstBodySeconds.observe((streaming.nowMillis() - started) / MILLIS_PER_SECOND);
+        }
+    }
+
+    private Histogram histogram(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .classicOnly()
+                .classicUpperBounds(LATENCY_SECONDS)
+                .withoutExemplars()
+                .register(registry);
+    }
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder()
                 .name(name)
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdapterFlowTest.java
@@ -67,7 +67,7 @@
     private void completeRequests() {
         List<AttemptId> ended = List.copyOf(running);
         running.clear();
-        ended.forEach(attempt -> fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt)));
+        ended.forEach(attempt -> fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt, 0)));
     }
 
     private void answer(EngineOrder order) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/CrashingPromptFleet.java
@@ -346,7 +346,7 @@
         apply(running.entry(), new FleetEvent.AttemptStreaming(nowMillis, running.attempt()));
         after(STREAM_MILLIS, () -> {
             if (runningByEngine.get(engine).remove(running)) {
-                apply(running.entry(), new FleetEvent.AttemptCompleted(nowMillis, running.attempt()));
+                apply(running.entry(), new FleetEvent.AttemptCompleted(nowMillis, running.attempt(), 0));
             }
         });
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
@@ -134,7 +134,7 @@
                 Optional.empty(), false, OptionalLong.empty(), limited ? limit : OptionalDouble.empty());
         after(ANSWER_MILLIS, () -> {
             apply(host, new FleetEvent.AttemptAnswered(nowMillis, start.attempt(), 200, false, true, statement));
-            apply(host, new FleetEvent.AttemptCompleted(nowMillis, start.attempt()));
+            apply(host, new FleetEvent.AttemptCompleted(nowMillis, start.attempt(), 0));
         });
     }
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ModelTurnTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ModelTurnTest.java
@@ -73,7 +73,7 @@
             if (passed % REQUEST_INTERVAL_MILLIS == 0) {
                 List<AttemptId> ended = List.copyOf(running);
                 running.clear();
-                ended.forEach(attempt -> apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt)));
+                ended.forEach(attempt -> apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt, 0)));
                 requested.forEach(this::request);
             }
             noteWaits();
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ModelWaitTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/ModelWaitTest.java
@@ -41,7 +41,7 @@
             if (passed % 200 == 0) {
                 List<AttemptId> ended = List.copyOf(running);
                 running.clear();
-                ended.forEach(attempt -> apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt)));
+                ended.forEach(attempt -> apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt, 0)));
                 request("m1");
                 request("m2");
             }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PrefillStatisticsTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/PrefillStatisticsTest.java
@@ -76,7 +76,7 @@
             fixture.advanceWithStoreReads(250);
             fixture.answer(attempt, 200, false);
             fixture.apply(new FleetEvent.AttemptStreaming(fixture.nowMillis, attempt));
-            fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt));
+            fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt, 0));
         }
 
         int served = 0;
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetChooserTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetChooserTest.java
@@ -16,7 +16,7 @@
 
     private void fail(AttemptId attempt) {
         fixture.answer(attempt, 500, false);
-        fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt));
+        fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, attempt, 0));
     }
 
     private void failConnection(AttemptId attempt) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/TargetStatementTest.java
@@ -54,7 +54,7 @@
                 .mapToObj(number -> {
                     sendRequest(fixture, "m1");
                     FleetEffect.StartAttempt start = started();
-                    fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, start.attempt()));
+                    fixture.apply(new FleetEvent.AttemptCompleted(fixture.nowMillis, start.attempt(), 0));
                     return start.target().id();
                 })
                 .toList();
@@ -140,7 +140,7 @@
 
         assertThat(started().target().id()).isNotEqualTo(paused);
         fixture.apply(
-                new FleetEvent.AttemptCompleted(fixture.nowMillis, started().attempt()));
+                new FleetEvent.AttemptCompleted(fixture.nowMillis, started().attempt(), 0));
         assertThat(enginesOfNextRequests(4)).doesNotContain(paused);
         fixture.advanceWithStoreReads(1_400);
         assertThat(enginesOfNextRequests(1)).doesNotContain(paused);
