--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubWorkFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubWorkFlow.java
@@ -58,7 +58,7 @@
         return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work));
     }
 
-    /** Sends what has changed since the latest message: the sums of the group to other hubs, those of all to the group. */
+    /** Sends the sums that have changed since the latest message: of the group to other hubs, of all to the group. */
     private static FleetState forward(FleetState state, long nowMillis, List<FleetEffect> effects) {
         HubState hub = state.hub();
         HubState.Published published = hub.published();
