A part that was answered elsewhere since the losses is not quarantined

Cause: losses of engines are told at once, answers with the next heartbeats.

Change: an entry that learns of a quarantined group weighs it against the answers that it has seen since the first loss that the group explains (at most 10 s old). A part that was answered since is cleared and leaves the group, which is told at once, as with an answer of its own. A part that does crash engines is answered nowhere. An answer before the first loss proves nothing, as a part may turn bad.

Tests: QuarantineTest, two new cases; answerAtAnotherEntrySinceTheFirstLossReleasesAPart fails before.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/quarantine/Quarantine.java
@@ -42,6 +42,8 @@
     private static final int MAX_PARTS_OF_A_PROMPT = 64;
     private static final int MAX_REPORTED_PARTS = 1_000; // about ten kilobytes of a heartbeat
     private static final int MAX_ANSWERED_PARTS = 4_096;
+    /** Age up to which a loss belongs to the evidence on which another entry has just quarantined its parts. */
+    private static final long RELATED_LOSS_MILLIS = 10_000;
     /** How often a change is repeated in heartbeats, in case one is lost. */
     private static final long REPEAT_MILLIS = 2_000;
 
@@ -256,7 +258,24 @@
         Set<Long> group = Set.copyOf(told.parts());
         QuarantineEntry known = entries.get(group);
         boolean news = !group.isEmpty() && (known == null || heard.isNewerThan(known));
-        return news ? with(group, heard) : this;
+        if (!news) {
+            return this;
+        }
+        Quarantine next = with(group, heard);
+        Set<Long> answered = heard.released() ? Set.of() : answeredSinceLosses(group, nowMillis);
+        return answered.isEmpty()
+                ? next
+                : next.withCleared(answered, nowMillis).withoutParts(group, answered, nowMillis);
+    }
+
+    /** Returns the parts of a group that this entry has seen answered since the losses that the group explains. */
+    private Set<Long> answeredSinceLosses(Set<Long> group, long nowMillis) {
+        OptionalLong firstLossAtMillis = losses.values().stream()
+                .filter(loss -> loss.isExplainedBy(group))
+                .mapToLong(LostEngine::atMillis)
+                .filter(atMillis -> nowMillis - atMillis < RELATED_LOSS_MILLIS)
+                .min();
+        return firstLossAtMillis.isPresent() ? answeredSince(group, firstLossAtMillis.getAsLong()) : Set.of();
     }
 
     private Quarantine withSurvivor(Incarnation engine, long sentAtMillis, long nowMillis) {
@@ -304,7 +323,7 @@
     }
 
     /** Replaces a group by the part of it that has not been answered. */
-    private Quarantine withoutParts(Set<Long> group, List<Long> answered, long nowMillis) {
+    private Quarantine withoutParts(Set<Long> group, Collection<Long> answered, long nowMillis) {
         QuarantineEntry entry = entries.get(group);
         Set<Long> rest = new HashSet<>(group);
         answered.forEach(rest::remove);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/quarantine/QuarantineTest.java
@@ -76,6 +76,44 @@
         assertThat(quarantine.activeGroups()).isEmpty();
     }
 
+    /** Guards against a part in constant use that is refused everywhere because its answers were not known in time. */
+    @Test
+    void answerAtAnotherEntrySinceTheFirstLossReleasesAPart() {
+        lose(1, 11, 1, SHARED);
+        Quarantine other = Quarantine.empty(QuarantineScope.PROMPT_PARTS)
+                .merge(quarantine.report(true, NOW + 1_000), NOW + 1_000)
+                .withAnswer(engine(9), NOW + 1_100, List.of(SHARED), NOW + 1_200);
+        lose(2, 12, 2, SHARED);
+        lose(3, 13, 3, SHARED);
+        assertThat(quarantine.activeGroups()).containsExactly(Set.of(SHARED));
+
+        Quarantine told = exchange(other, quarantine, NOW + 3_100);
+        quarantine = exchange(quarantine, told, NOW + 3_200);
+
+        assertThat(told.activeGroups()).isEmpty();
+        assertThat(quarantine.activeGroups()).isEmpty();
+    }
+
+    @Test
+    void answerAtAnotherEntryBeforeTheFirstLossReleasesNothing() {
+        Quarantine other = Quarantine.empty(QuarantineScope.PROMPT_PARTS)
+                .withAnswer(engine(9), NOW + 400, List.of(BAD), NOW + 450);
+        lose(1, 11, 1, BAD);
+        other = exchange(other, quarantine, NOW + 1_500);
+        lose(2, 12, 2, BAD);
+        lose(3, 13, 3, BAD);
+
+        other = exchange(other, quarantine, NOW + 3_100);
+        quarantine = exchange(quarantine, other, NOW + 3_200);
+
+        assertThat(other.activeGroups()).containsExactly(Set.of(BAD));
+        assertThat(quarantine.activeGroups()).containsExactly(Set.of(BAD));
+    }
+
+    private static Quarantine exchange(Quarantine receiver, Quarantine sender, long nowMillis) {
+        return receiver.merge(sender.report(true, nowMillis), nowMillis).withNewGroups(nowMillis);
+    }
+
     @Test
     void engineThatAnswersALaterRequestHasOnlyResetAConnection() {
         lose(1, 11, 1, BAD);
