An attempt that reaches no target does not use up the budget for repeats

Cause: a request whose connection failed took a repeat from the budget. The users' rule counts arrivals at targets beyond the first of each request; nothing arrives without a connection.

Change: a request counts its arrivals; the budget is asked and spent from the second on. The number of attempts stays bounded by four.

Tests: AttemptFlowTest, two new cases; attemptThatReachesNoTargetNeedsNoBudget fails before.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -65,7 +65,13 @@
             boolean healthy = event.statement().retryDelayMillis().isPresent();
             FleetState known = healthy ? corrected : withTarget(corrected, id, FleetTarget::answeredWithError);
             return retryOrRefuse(
-                    known, request, id, false, "rejected with " + event.status(), event.nowMillis(), effects);
+                    known,
+                    request.withArrival(),
+                    id,
+                    false,
+                    "rejected with " + event.status(),
+                    event.nowMillis(),
+                    effects);
         }
         boolean cannotContinue = request.answerStarted() && !(event.status() == OK && event.sameType());
         boolean failed = event.status() >= FIRST_SERVER_ERROR || cannotContinue;
@@ -80,7 +86,13 @@
                 || REJECTION_STATUSES.contains(event.status())) {
             effects.add(new FleetEffect.CancelAttempt(event.attempt()));
             return retryOrRefuse(
-                    updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
+                    updated,
+                    request.withArrival(),
+                    id,
+                    true,
+                    "answered with " + event.status(),
+                    event.nowMillis(),
+                    effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
         // A target may fail a request without running it, and may still crash when only the head of a stream has come.
@@ -184,8 +196,9 @@
                 recordLoss(state, found.get(), event, effects),
                 id,
                 target -> connectionFailed ? target.unreachable(event.nowMillis()) : target.answeredWithError());
+        FleetRequest request = event.written() ? found.get().withArrival() : found.get();
         return retryOrRefuse(
-                updated, found.get(), id, event.written(), event.failure().name(), event.nowMillis(), effects);
+                updated, request, id, event.written(), event.failure().name(), event.nowMillis(), effects);
     }
 
     /** Records a lost connection as evidence against the request, if its answer had not begun. */
@@ -288,7 +301,7 @@
     }
 
     private static boolean mayRetryAfterExecution(FleetState state, FleetRequest request, long nowMillis) {
-        FleetRequest failed = request.withFailedAttempt("", true);
+        FleetRequest failed = request.withArrival().withFailedAttempt("", true);
         return mayRetry(state, failed, nowMillis);
     }
 
@@ -301,14 +314,23 @@
         return allowed
                 && (request.hasNotRun() || QuarantineFlow.mayRepeat(state, request))
                 && request.attempts() < MAX_ATTEMPTS
-                && retryBudget(state, request.service(), nowMillis).allowsRetry();
+                && (isFirstArrival(request)
+                        || retryBudget(state, request.service(), nowMillis).allowsRetry());
     }
 
     static FleetState creditRetries(FleetState state, String service, long nowMillis) {
         return state.with(service, retryBudget(state, service, nowMillis).credit(state.bounds()));
     }
 
+    /** Returns whether the next attempt is the first one to reach a target; the users' budget counts those after it. */
+    private static boolean isFirstArrival(FleetRequest request) {
+        return request.arrivals() == 0;
+    }
+
     private static FleetState spendRetry(FleetState state, FleetRequest request, long nowMillis) {
+        if (isFirstArrival(request)) {
+            return state;
+        }
         return state.with(
                 request.service(),
                 retryBudget(state, request.service(), nowMillis).spend());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -14,6 +14,7 @@
  * @param priority priority, 0 is the highest
  * @param expiresAtMillis when the caller's deadline or the route's timeout passes, whichever is first
  * @param attempts number of attempts started so far
+ * @param arrivals number of failed attempts that reached a target
  * @param executions number of attempts that targets may have executed
  * @param tried targets at which an attempt has failed
  * @param answerStarted whether the head of an answer has been relayed, which a later attempt can only continue
@@ -30,6 +31,7 @@
         long arrivedAtMillis,
         long expiresAtMillis,
         int attempts,
+        int arrivals,
         int executions,
         PSet<String> tried,
         boolean answerStarted,
@@ -60,6 +62,11 @@
         });
     }
 
+    /** Returns the request after an attempt has failed that had reached its target. */
+    FleetRequest withArrival() {
+        return changed(builder -> builder.arrivals++);
+    }
+
     /** Returns the request after an attempt has failed. */
     FleetRequest withFailedAttempt(String target, boolean mayHaveRun) {
         return changed(builder -> {
@@ -91,6 +98,7 @@
                 arrivedAtMillis,
                 expiresAtMillis,
                 builder.attempts,
+                builder.arrivals,
                 builder.executions,
                 builder.tried,
                 builder.answerStarted,
@@ -101,6 +109,7 @@
     /** Mutable components of a request that change, used to build a changed copy. */
     private static final class Builder {
         private int attempts;
+        private int arrivals;
         private int executions;
         private PSet<String> tried;
         private boolean answerStarted;
@@ -109,6 +118,7 @@
 
         Builder(FleetRequest source) {
             attempts = source.attempts;
+            arrivals = source.arrivals;
             executions = source.executions;
             tried = source.tried;
             answerStarted = source.answerStarted;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -87,6 +87,7 @@
                 event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
                 0,
                 0,
+                0,
                 HashTreePSet.empty(),
                 false,
                 false,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AttemptFlowTest.java
@@ -210,6 +210,34 @@
         assertThat(retries).isLessThanOrEqualTo((int) (bounds.slack() + 100 * bounds.ratio()));
     }
 
+    /** Guards against refusals while other targets serve, because a lost one has to be paid for from the budget. */
+    @Test
+    void attemptThatReachesNoTargetNeedsNoBudget() {
+        useUpBudget();
+        fixture.call("read");
+        FleetEffect.StartAttempt first = fixture.only(FleetEffect.StartAttempt.class);
+
+        fixture.apply(
+                new FleetEvent.AttemptFailed(fixture.nowMillis, first.attempt(), AttemptFailure.CONNECT_FAILED, false));
+
+        assertThat(fixture.only(FleetEffect.StartAttempt.class).target().id())
+                .isNotEqualTo(first.target().id());
+    }
+
+    @Test
+    void attemptThatATargetRejectsNeedsBudget() {
+        useUpBudget();
+        fixture.call("read");
+
+        fixture.answer(started(), 503, true);
+
+        assertThat(refused().refusal().code()).isEqualTo(RefusalCode.NO_CAPACITY);
+    }
+
+    private void useUpBudget() {
+        fixture.state = fixture.state.with("payments", new RetryBudget(0, fixture.nowMillis));
+    }
+
     private record FleetBoundsView() {
         double slack() {
             return FleetFixture.BOUNDS.retrySlack();
