--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -39,7 +39,7 @@
         if (found.isEmpty()) {
             return state;
         }
-        FleetRequest request = found.get();
+        FleetRequest request = found.get().withArrival();
         String id = ((RequestPhase.Running) request.phase()).target();
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
         FleetState loaded =
@@ -65,13 +65,7 @@
             boolean healthy = event.statement().retryDelayMillis().isPresent();
             FleetState known = healthy ? corrected : withTarget(corrected, id, FleetTarget::answeredWithError);
             return retryOrRefuse(
-                    known,
-                    request.withArrival(),
-                    id,
-                    false,
-                    "rejected with " + event.status(),
-                    event.nowMillis(),
-                    effects);
+                    known, request, id, false, "rejected with " + event.status(), event.nowMillis(), effects);
         }
         boolean cannotContinue = request.answerStarted() && !(event.status() == OK && event.sameType());
         boolean failed = event.status() >= FIRST_SERVER_ERROR || cannotContinue;
@@ -86,13 +80,7 @@
                 || REJECTION_STATUSES.contains(event.status())) {
             effects.add(new FleetEffect.CancelAttempt(event.attempt()));
             return retryOrRefuse(
-                    updated,
-                    request.withArrival(),
-                    id,
-                    true,
-                    "answered with " + event.status(),
-                    event.nowMillis(),
-                    effects);
+                    updated, request, id, true, "answered with " + event.status(), event.nowMillis(), effects);
         }
         effects.add(new FleetEffect.RelayAnswer(event.attempt()));
         // A target may fail a request without running it, and may still crash when only the head of a stream has come.
@@ -301,7 +289,7 @@
     }
 
     private static boolean mayRetryAfterExecution(FleetState state, FleetRequest request, long nowMillis) {
-        FleetRequest failed = request.withArrival().withFailedAttempt("", true);
+        FleetRequest failed = request.withFailedAttempt("", true);
         return mayRetry(state, failed, nowMillis);
     }
 
@@ -314,7 +302,7 @@
         return allowed
                 && (request.hasNotRun() || QuarantineFlow.mayRepeat(state, request))
                 && request.attempts() < MAX_ATTEMPTS
-                && (isFirstArrival(request)
+                && (!request.arrived()
                         || retryBudget(state, request.service(), nowMillis).allowsRetry());
     }
 
@@ -322,13 +310,9 @@
         return state.with(service, retryBudget(state, service, nowMillis).credit(state.bounds()));
     }
 
-    /** Returns whether the next attempt is the first one to reach a target; the users' budget counts those after it. */
-    private static boolean isFirstArrival(FleetRequest request) {
-        return request.arrivals() == 0;
-    }
-
+    /** Takes a retry from the budget, in which only the arrivals after the first one at a target count. */
     private static FleetState spendRetry(FleetState state, FleetRequest request, long nowMillis) {
-        if (isFirstArrival(request)) {
+        if (!request.arrived()) {
             return state;
         }
         return state.with(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -14,7 +14,7 @@
  * @param priority priority, 0 is the highest
  * @param expiresAtMillis when the caller's deadline or the route's timeout passes, whichever is first
  * @param attempts number of attempts started so far
- * @param arrivals number of failed attempts that reached a target
+ * @param arrived whether an attempt has reached a target, as far as that is known
  * @param executions number of attempts that targets may have executed
  * @param tried targets at which an attempt has failed
  * @param answerStarted whether the head of an answer has been relayed, which a later attempt can only continue
@@ -31,7 +31,7 @@
         long arrivedAtMillis,
         long expiresAtMillis,
         int attempts,
-        int arrivals,
+        boolean arrived,
         int executions,
         PSet<String> tried,
         boolean answerStarted,
@@ -62,9 +62,9 @@
         });
     }
 
-    /** Returns the request after an attempt has failed that had reached its target. */
+    /** Returns the request after an attempt has reached its target. */
     FleetRequest withArrival() {
-        return changed(builder -> builder.arrivals++);
+        return changed(builder -> builder.arrived = true);
     }
 
     /** Returns the request after an attempt has failed. */
@@ -98,7 +98,7 @@
                 arrivedAtMillis,
                 expiresAtMillis,
                 builder.attempts,
-                builder.arrivals,
+                builder.arrived,
                 builder.executions,
                 builder.tried,
                 builder.answerStarted,
@@ -109,7 +109,7 @@
     /** Mutable components of a request that change, used to build a changed copy. */
     private static final class Builder {
         private int attempts;
-        private int arrivals;
+        private boolean arrived;
         private int executions;
         private PSet<String> tried;
         private boolean answerStarted;
@@ -118,7 +118,7 @@
 
         Builder(FleetRequest source) {
             attempts = source.attempts;
-            arrivals = source.arrivals;
+            arrived = source.arrived;
             executions = source.executions;
             tried = source.tried;
             answerStarted = source.answerStarted;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -86,7 +86,7 @@
                 event.nowMillis(),
                 event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
                 0,
-                0,
+                false,
                 0,
                 HashTreePSet.empty(),
                 false,
