--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -69,25 +69,11 @@
 
     private FleetState dispatchUnblocked(
             FleetState state, FleetRequest request, long nowMillis, List<FleetEffect> effects) {
-        boolean engine = request.call().model().isPresent()
-                && state.configuration()
-                        .flatMap(known -> known.engine(request.service()))
-                        .isPresent();
-        List<FleetTarget> available = state.targets().values().stream()
-                .filter(target -> target.description().service().equals(request.service()))
-                .filter(target -> !target.isLeaving())
-                .map(target -> TargetLimitGate.accrue(state, target, nowMillis))
-                .toList();
-        List<FleetTarget> usable = available.stream()
-                .filter(target -> !target.isPaused(nowMillis) && TargetLimitGate.admits(target))
-                .toList();
-        List<FleetTarget> capable = engine
-                ? usable.stream()
-                        .filter(target -> target.holds(
-                                request.call().model().get(), request.call().adapter()))
-                        .toList()
-                : usable;
-        Optional<TargetChooser.Choice> choice = TargetChooser.best(state, request, capable, engine, nowMillis);
+        Candidates candidates = Candidates.of(state, request, nowMillis);
+        boolean engine = candidates.engine();
+        List<FleetTarget> usable = candidates.usable();
+        Optional<TargetChooser.Choice> choice =
+                TargetChooser.best(state, request, candidates.capable(), engine, nowMillis);
         if (choice.isPresent()
                 && request.tried().contains(choice.get().target().description().id())) {
             return refuseUnserved(
@@ -103,18 +89,11 @@
                     ? admit(state, request, choice.get(), nowMillis, effects)
                     : send(state, request, choice.get(), false, nowMillis, effects);
         }
-        OptionalLong pauseEnds = available.stream()
-                .filter(target -> target.isPaused(nowMillis))
-                .filter(target -> !engine || target.holds(request.call().model().get(), Optional.empty()))
-                .mapToLong(target -> target.health().pausedUntilMillis())
-                .min();
+        OptionalLong pauseEnds = candidates.pauseEndsAtMillis(nowMillis);
         if (pauseEnds.isPresent()) {
             return waitForPausedTargets(state, request, pauseEnds.getAsLong(), nowMillis, effects);
         }
-        List<FleetTarget> limited = available.stream()
-                .filter(target -> !TargetLimitGate.admits(target))
-                .filter(target -> !engine || target.holds(request.call().model().get(), Optional.empty()))
-                .toList();
+        List<FleetTarget> limited = candidates.limited();
         if (!limited.isEmpty() && (usable.isEmpty() || !engine)) {
             return waitForLimitedTargets(state, request, limited, nowMillis, effects);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jackdawbeam.logic.placement.Demand;
 import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.model.fleet.Feed;
@@ -105,33 +106,23 @@
     }
 
     FleetState with(FleetBounds changed) {
-        Builder builder = new Builder(this);
-        builder.bounds = changed;
-        return builder.build();
+        return changed(builder -> builder.bounds = changed);
     }
 
     FleetState with(StoreEra changed) {
-        Builder builder = new Builder(this);
-        builder.storeEra = changed;
-        return builder.build();
+        return changed(builder -> builder.storeEra = changed);
     }
 
     FleetState with(Feed feed, FeedState changed) {
-        Builder builder = new Builder(this);
-        builder.feeds = feeds.plus(feed, changed);
-        return builder.build();
+        return changed(builder -> builder.feeds = feeds.plus(feed, changed));
     }
 
     FleetState with(FleetConfiguration changed) {
-        Builder builder = new Builder(this);
-        builder.configuration = Optional.of(changed);
-        return builder.build();
+        return changed(builder -> builder.configuration = Optional.of(changed));
     }
 
     FleetState withTargets(PMap<String, FleetTarget> changed) {
-        Builder builder = new Builder(this);
-        builder.targets = changed;
-        return builder.build();
+        return changed(builder -> builder.targets = changed);
     }
 
     FleetState with(FleetTarget target) {
@@ -139,22 +130,16 @@
     }
 
     FleetState withPeers(PMap<String, FleetPeer> changed) {
-        Builder builder = new Builder(this);
-        builder.peers = changed;
-        return builder.build();
+        return changed(builder -> builder.peers = changed);
     }
 
     /** Returns the state with a snapshot of the peers, to be confirmed when the configuration read completes. */
     FleetState withConfigurationReadStarted() {
-        Builder builder = new Builder(this);
-        builder.peersAtConfigurationRead = peers;
-        return builder.build();
+        return changed(builder -> builder.peersAtConfigurationRead = peers);
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
-        Builder builder = new Builder(this);
-        builder.requests = changed;
-        return builder.build();
+        return changed(builder -> builder.requests = changed);
     }
 
     FleetState with(FleetRequest request) {
@@ -166,33 +151,23 @@
     }
 
     FleetState with(String workspace, QuotaBucket bucket) {
-        Builder builder = new Builder(this);
-        builder.buckets = buckets.plus(workspace, bucket);
-        return builder.build();
+        return changed(builder -> builder.buckets = buckets.plus(workspace, bucket));
     }
 
     FleetState with(QuotaOwnership changed) {
-        Builder builder = new Builder(this);
-        builder.quotaOwnership = changed;
-        return builder.build();
+        return changed(builder -> builder.quotaOwnership = changed);
     }
 
     FleetState with(String service, RetryBudget budget) {
-        Builder builder = new Builder(this);
-        builder.retries = retries.plus(service, budget);
-        return builder.build();
+        return changed(builder -> builder.retries = retries.plus(service, budget));
     }
 
     FleetState with(Leadership changed) {
-        Builder builder = new Builder(this);
-        builder.leadership = changed;
-        return builder.build();
+        return changed(builder -> builder.leadership = changed);
     }
 
     FleetState with(PlacementState changed) {
-        Builder builder = new Builder(this);
-        builder.placement = changed;
-        return builder.build();
+        return changed(builder -> builder.placement = changed);
     }
 
     /** Returns the state after recording the demand of a request for a model. */
@@ -205,23 +180,18 @@
     }
 
     FleetState with(ModelWaits changed) {
-        Builder builder = new Builder(this);
-        builder.modelWaits = changed;
-        return builder.build();
+        return changed(builder -> builder.modelWaits = changed);
     }
 
     FleetState with(String service, PrefillStatistics statistics) {
-        Builder builder = new Builder(this);
-        builder.prefillStatistics = prefillStatistics.plus(service, statistics);
-        return builder.build();
+        return changed(builder -> builder.prefillStatistics = prefillStatistics.plus(service, statistics));
     }
 
     /** Returns the state after sending an engine a request of the route with the given number of tokens to process. */
     FleetState withSentPrefill(String route, long tokens) {
         double mean = typicalPrefillTokens.getOrDefault(route, (double) tokens);
-        Builder builder = new Builder(this);
-        builder.typicalPrefillTokens = typicalPrefillTokens.plus(route, mean + TYPICAL_WEIGHT * (tokens - mean));
-        return builder.build();
+        return changed(builder -> builder.typicalPrefillTokens =
+                typicalPrefillTokens.plus(route, mean + TYPICAL_WEIGHT * (tokens - mean)));
     }
 
     PrefillStatistics prefillStatistics(String service) {
@@ -229,33 +199,23 @@
     }
 
     FleetState with(Announcement changed) {
-        Builder builder = new Builder(this);
-        builder.announcement = changed;
-        return builder.build();
+        return changed(builder -> builder.announcement = changed);
     }
 
     FleetState with(StopStage changed) {
-        Builder builder = new Builder(this);
-        builder.stop = changed;
-        return builder.build();
+        return changed(builder -> builder.stop = changed);
     }
 
     FleetState withBufferedAnswers(PSet<Long> changed) {
-        Builder builder = new Builder(this);
-        builder.bufferedAnswers = changed;
-        return builder.build();
+        return changed(builder -> builder.bufferedAnswers = changed);
     }
 
     FleetState with(SentWork changed) {
-        Builder builder = new Builder(this);
-        builder.sent = changed;
-        return builder.build();
+        return changed(builder -> builder.sent = changed);
     }
 
     FleetState with(HubState changed) {
-        Builder builder = new Builder(this);
-        builder.hub = changed;
-        return builder.build();
+        return changed(builder -> builder.hub = changed);
     }
 
     /** Returns the quarantine of the scope. */
@@ -280,9 +240,7 @@
     }
 
     FleetState withStoredQuarantine(PMap<QuarantinedGroup, StoredQuarantine> changed) {
-        Builder builder = new Builder(this);
-        builder.storedQuarantine = changed;
-        return builder.build();
+        return changed(builder -> builder.storedQuarantine = changed);
     }
 
     FeedState feed(Feed feed) {
@@ -294,6 +252,12 @@
         return peers.size() + 1;
     }
 
+    private FleetState changed(Consumer<Builder> change) {
+        Builder builder = new Builder(this);
+        change.accept(builder);
+        return builder.build();
+    }
+
     /** Mutable copy from which the next state is built. */
     private static final class Builder {
         private final FleetMember self;
