Evacuation of an availability zone: model, decisions, placement

The operator's request to send nothing more to a zone was an unreadable entry of the configuration feed. Each entry now holds the evacuated zones and sends nothing there from the limit on; until then only what no other target can serve. The planner leaves out the zone's engines.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedStore.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedStore.java
@@ -45,6 +45,8 @@
             case FeedEntry.Quarantined quarantined ->
                 topic.newest.put(quarantined.parts().parts().toString(), quarantined);
             case FeedEntry.QuarantineRemoved removed -> topic.newest.remove(removed.key());
+            case FeedEntry.ZoneEvacuated evacuated -> topic.newest.put("evacuate/" + evacuated.zone(), evacuated);
+            case FeedEntry.ZoneEvacuationEnded ended -> topic.newest.remove("evacuate/" + ended.zone());
             case FeedEntry.Unreadable unreadable -> {
                 // Unreadable entries have no key.
             }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -112,7 +112,10 @@
 
     private static boolean canLoad(FleetState state, AdapterWish wish) {
         FleetTarget target = state.targets().get(wish.target());
-        return target != null && !target.isLeaving() && target.holds(wish.key().model(), Optional.empty());
+        return target != null
+                && !target.isLeaving()
+                && !EvacuationFlow.isEvacuated(state, target)
+                && target.holds(wish.key().model(), Optional.empty());
     }
 
     /**
@@ -168,7 +171,7 @@
     private static Optional<FleetTarget> findAlternativeEngine(
             FleetState state, EngineDefinition engine, AdapterWish wish, Set<String> claimed, long nowMillis) {
         String model = wish.key().model();
-        return Engines.all(state, wish.service()).stream()
+        return Engines.placeable(state, wish.service()).stream()
                 .filter(target -> target.holds(model, Optional.empty()) && !target.declinesOrders(nowMillis))
                 .filter(target -> !claimed.contains(target.description().id()))
                 .filter(target -> Engines.stateOf(state, target).isIdle())
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Candidates.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Candidates.java
@@ -7,7 +7,7 @@
 /**
  * The targets of a request's service that may get requests, now or soon.
  *
- * @param available targets that are not leaving
+ * @param available targets that are not leaving and whose zone is not evacuated
  * @param usable available targets that accept requests from this entry now
  * @param capable usable targets that hold the model and the adapter of the request
  */
@@ -26,6 +26,7 @@
         List<FleetTarget> available = state.targets().values().stream()
                 .filter(target -> target.description().service().equals(request.service()))
                 .filter(target -> !target.isLeaving())
+                .filter(EvacuationFlow.admitting(state, request, engine, nowMillis))
                 .map(target -> TargetLimitGate.accrue(state, target, nowMillis))
                 .toList();
         List<FleetTarget> usable = available.stream()
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -266,7 +266,7 @@
                 request.call().callerRequestId(),
                 target.description(),
                 request.expiresAtMillis(),
-                sendUntilMillis(state, request, target),
+                sendUntilMillis(state, request, target, nowMillis),
                 request.workspace(),
                 late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
@@ -282,11 +282,13 @@
                 .with(request.withAttempt(new RequestPhase.Running(attempt, id, false, false)));
     }
 
-    /** Returns the time until which the key is known to be valid and the target is not known to be gone. */
-    private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target) {
+    /** Returns the time until which the key is known to be valid and the target may get requests. */
+    private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target, long nowMillis) {
         long keyValidUntil =
                 request.workspace().isPresent() ? FeedFlow.withdrawalsValidUntilMillis(state) : Long.MAX_VALUE;
-        return Math.min(keyValidUntil, target.goneAtMillis().orElse(Long.MAX_VALUE));
+        long zoneOpenUntil = EvacuationFlow.sendUntilMillis(state, target, nowMillis);
+        return Math.min(
+                Math.min(keyValidUntil, zoneOpenUntil), target.goneAtMillis().orElse(Long.MAX_VALUE));
     }
 
     private static long typicalPrefillMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Engines.java
@@ -64,6 +64,13 @@
                 .toList();
     }
 
+    /** Returns the engines onto which models and adapters may be loaded. */
+    static List<FleetTarget> placeable(FleetState state, String service) {
+        return all(state, service).stream()
+                .filter(target -> !EvacuationFlow.isEvacuated(state, target))
+                .toList();
+    }
+
     static EngineState stateOf(FleetState state, FleetTarget target) {
         EngineState known = state.placement().engines().get(target.description().id());
         long startedAt = target.description().startedAtMillis();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -32,6 +32,7 @@
                 effects.add(new FleetEffect.ReadFeed(feed, progress.nextOffset(), waitMillis(next, feed, nowMillis)));
             }
         }
+        next = EvacuationFlow.tick(next, nowMillis, effects);
         return announce(dropExpiredTargets(next, nowMillis, effects), effects);
     }
 
@@ -52,7 +53,8 @@
         if (event.newest() && event.feed() == Feed.TARGETS) {
             next = removeUnlistedTargets(next, event, effects);
         }
-        return applyAll(next, event.entries(), event.nowMillis(), effects);
+        FleetState applied = applyAll(next, event.entries(), event.nowMillis(), effects);
+        return EvacuationFlow.onRead(state, applied, event, effects);
     }
 
     /**
@@ -157,6 +159,8 @@
             case FeedEntry.Quarantined quarantined ->
                 quarantine.onStoredEntry(state, quarantined.parts(), nowMillis, effects);
             case FeedEntry.QuarantineRemoved removed -> state;
+            case FeedEntry.ZoneEvacuated evacuated -> state;
+            case FeedEntry.ZoneEvacuationEnded ended -> state;
             case FeedEntry.Unreadable unreadable -> {
                 effects.add(
                         FleetEffect.Note.of("entry_ignored", "key", unreadable.key(), "reason", unreadable.reason()));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.jackdawbeam.logic.evacuation.Evacuations;
 import org.jackdawbeam.logic.placement.Demand;
 import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.model.fleet.Feed;
@@ -36,6 +37,7 @@
  * @param quarantine prompt parts that may crash engines
  * @param requestQuarantine requests that may crash engines
  * @param storedQuarantine what the store is known to hold of both
+ * @param evacuations the evacuated availability zones
  */
 public record FleetState(
         FleetMember self,
@@ -64,7 +66,8 @@
         HubState hub,
         Quarantine quarantine,
         Quarantine requestQuarantine,
-        PMap<QuarantinedGroup, StoredQuarantine> storedQuarantine) {
+        PMap<QuarantinedGroup, StoredQuarantine> storedQuarantine,
+        Evacuations evacuations) {
     static final double DEMAND_WINDOW_MILLIS = 3_000; // bursts last at least three seconds
     private static final double OBJECTIVE_WEIGHT = 0.1; // averages over about ten requests
     private static final double TYPICAL_WEIGHT = 0.05; // averages over about twenty, as prompt lengths differ tenfold
@@ -102,7 +105,8 @@
                 HubState.none(),
                 Quarantine.empty(QuarantineScope.PROMPT_PARTS),
                 Quarantine.empty(QuarantineScope.REQUESTS),
-                HashTreePMap.empty());
+                HashTreePMap.empty(),
+                Evacuations.none());
     }
 
     FleetState with(FleetBounds changed) {
@@ -243,6 +247,10 @@
         return changed(builder -> builder.storedQuarantine = changed);
     }
 
+    FleetState with(Evacuations changed) {
+        return changed(builder -> builder.evacuations = changed);
+    }
+
     FeedState feed(Feed feed) {
         return feeds.get(feed);
     }
@@ -287,6 +295,7 @@
         private Quarantine quarantine;
         private Quarantine requestQuarantine;
         private PMap<QuarantinedGroup, StoredQuarantine> storedQuarantine;
+        private Evacuations evacuations;
 
         Builder(FleetState source) {
             self = source.self;
@@ -316,6 +325,7 @@
             quarantine = source.quarantine;
             requestQuarantine = source.requestQuarantine;
             storedQuarantine = source.storedQuarantine;
+            evacuations = source.evacuations;
         }
 
         FleetState build() {
@@ -346,7 +356,8 @@
                     hub,
                     quarantine,
                     requestQuarantine,
-                    storedQuarantine);
+                    storedQuarantine,
+                    evacuations);
         }
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ModelWaitFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ModelWaitFlow.java
@@ -12,7 +12,7 @@
         }
         Set<DemandKey> held = new HashSet<>();
         for (FleetTarget target : state.targets().values()) {
-            if (!target.isLeaving() && target.goneAtMillis().isEmpty()) {
+            if (!target.isLeaving() && target.goneAtMillis().isEmpty() && !EvacuationFlow.isEvacuated(state, target)) {
                 target.description().models().stream()
                         .filter(model -> !target.unloading().contains(model))
                         .forEach(model ->
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -31,11 +31,12 @@
         next = dropExpiredReservations(next, nowMillis);
         Map<String, DemandEstimate> estimates = next.placement().trend().estimates(service, currentDemand, nowMillis);
         boolean mayDisplace = next.placement().trend().hasEnoughHistory(nowMillis)
+                || !next.evacuations().isEmpty()
                 || estimates.values().stream().anyMatch(estimate -> estimate.waiting() > 0);
         double underestimationFactor = next.placement().trend().underestimationFactor(nowMillis);
         for (int moves = 0; moves < MAX_MOVES; moves++) {
             FleetState current = next;
-            List<ReplicaPlanner.Engine> engines = Engines.all(current, service).stream()
+            List<ReplicaPlanner.Engine> engines = Engines.placeable(current, service).stream()
                     .map(target -> plannedEngine(current, engine, target, nowMillis))
                     .toList();
             long loading = engines.stream()
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FeedEntry.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FeedEntry.java
@@ -24,6 +24,12 @@
     /** A group of prompt parts is no longer quarantined. */
     record QuarantineRemoved(String key) implements FeedEntry {}
 
+    /** The operator asks that nothing new be sent to the targets of an availability zone. */
+    record ZoneEvacuated(String zone) implements FeedEntry {}
+
+    /** The evacuation of an availability zone has been taken back. */
+    record ZoneEvacuationEnded(String zone) implements FeedEntry {}
+
     /** An entry that cannot be decoded; other entries remain valid. */
     record Unreadable(String key, String reason) implements FeedEntry {}
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
@@ -1,5 +1,7 @@
 package org.jackdawbeam.model.fleet;
 
+import java.util.OptionalLong;
+
 /**
  * Time limits and rates set by the deployment.
  *
@@ -13,6 +15,8 @@
  * @param retryWindowMillis length of the window for the retry limits
  * @param loadWindowMillis length of the window for the limit on loads from the weight store
  * @param directoryTtlSeconds maximum time for which callers may cache a response of the directory
+ * @param evacuateMillis time within which the targets of an evacuated availability zone must stop getting requests, if
+ *     the deployment states one
  */
 public record FleetBounds(
         long revokeMillis,
@@ -23,4 +27,45 @@
         double retrySlack,
         long retryWindowMillis,
         long loadWindowMillis,
-        int directoryTtlSeconds) {}
+        int directoryTtlSeconds,
+        OptionalLong evacuateMillis) {
+
+    /** Creates the bounds of a deployment without a limit for evacuations. */
+    public FleetBounds(
+            long revokeMillis,
+            boolean enginesCheckTokens,
+            long leadershipGapMillis,
+            long graceMillis,
+            double retryRatio,
+            double retrySlack,
+            long retryWindowMillis,
+            long loadWindowMillis,
+            int directoryTtlSeconds) {
+        this(
+                revokeMillis,
+                enginesCheckTokens,
+                leadershipGapMillis,
+                graceMillis,
+                retryRatio,
+                retrySlack,
+                retryWindowMillis,
+                loadWindowMillis,
+                directoryTtlSeconds,
+                OptionalLong.empty());
+    }
+
+    /** Returns the bounds with a time within which a zone must be evacuated. */
+    public FleetBounds withEvacuateMillis(OptionalLong millis) {
+        return new FleetBounds(
+                revokeMillis,
+                enginesCheckTokens,
+                leadershipGapMillis,
+                graceMillis,
+                retryRatio,
+                retrySlack,
+                retryWindowMillis,
+                loadWindowMillis,
+                directoryTtlSeconds,
+                millis);
+    }
+}
