Fleet search evacuates a zone: invariant EVACUATED_ZONE

Random failures of entries, peers and the store while the zone of an engine is evacuated and taken back; no request is executed there later than the limit. The planner may displace models as before, only once it knows the demand.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetFaultInjector.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetFaultInjector.java
@@ -15,6 +15,7 @@
     private static final double MAX_COPY_AGE_MILLIS = 6_000;
     private static final double MAX_REWRITE_DELAY_MILLIS = 1_500; // operators react quickly to a restored store
     private static final double EXPIRY_MILLIS = 3_600; // three heartbeat intervals of an engine
+    private static final double MEAN_EVACUATION_MILLIS = 8_000;
     private static final int FAULT_KINDS = 12;
 
     private final EventQueue queue;
@@ -66,6 +67,22 @@
         });
     }
 
+    /** Evacuates a zone at random times and takes it back, the last time when all failures have ended. */
+    void startEvacuations(Random evacuations) {
+        queue.after(evacuations.nextDouble() * 2 * MEAN_EVACUATION_MILLIS, () -> {
+            if (queue.nowMillis() < endMillis) {
+                String zone = FleetSearchSite.EVACUATED_ZONE;
+                fleet.store().write(Feed.CONFIGURATION, new FeedEntry.ZoneEvacuated(zone));
+                checker.evacuated(zone);
+                queue.after(MIN_FAULT_MILLIS + evacuations.nextDouble() * 2 * MEAN_EVACUATION_MILLIS, () -> {
+                    fleet.store().write(Feed.CONFIGURATION, new FeedEntry.ZoneEvacuationEnded(zone));
+                    checker.evacuationEnded(zone);
+                    startEvacuations(evacuations);
+                });
+            }
+        });
+    }
+
     /** Removes engines that a restored copy lists but that no longer exist and so cannot deregister themselves. */
     private void removeExpiredTargets() {
         List<String> alive = targets.engines().stream()
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetInvariant.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetInvariant.java
@@ -14,6 +14,8 @@
     TRUE_REFUSAL,
     /** No request is executed if its key was withdrawn longer than the allowed time before it was sent. */
     WITHDRAWN_KEY,
+    /** No engine of an evacuated zone executes a request later than the limit allows. */
+    EVACUATED_ZONE,
     /** No workspace exceeds its rate, burst and the allowed slack in any window. */
     RATE,
     /** Every entry serves every model again after all failures have ended. */
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetInvariantChecker.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetInvariantChecker.java
@@ -19,6 +19,7 @@
     private static final double SLACK_UNITS = 17_000; // slack per window that the deployments allow
     private static final double OVERSHOOT_FACTOR = 1.1; // on rate and burst, as the deployments allow
     private static final double WITHDRAWAL_MILLIS = 5_000;
+    private static final double EVACUATION_MILLIS = 5_000;
 
     private final DoubleSupplier clock;
     private final double rate;
@@ -26,6 +27,7 @@
     private final Map<String, Integer> executions = new HashMap<>();
     private final Set<String> refusedAsNotRun = new HashSet<>();
     private final Map<String, Double> withdrawnAt = new HashMap<>();
+    private final Map<String, Double> evacuatedAt = new HashMap<>();
     private final Map<Long, String> holders = new HashMap<>();
     private final Deque<Spent> spent = new ArrayDeque<>();
     private final List<FleetViolation> violations = new ArrayList<>();
@@ -69,6 +71,23 @@
         withdrawnAt.put(key, clock.getAsDouble());
     }
 
+    void evacuated(String zone) {
+        evacuatedAt.put(zone, clock.getAsDouble());
+    }
+
+    void evacuationEnded(String zone) {
+        evacuatedAt.remove(zone);
+    }
+
+    /** Records that a request was executed by a target of a zone. */
+    void executed(String id, String zone) {
+        double late = clock.getAsDouble() - evacuatedAt.getOrDefault(zone, Double.MAX_VALUE);
+        if (late > EVACUATION_MILLIS) {
+            reportViolation(FleetInvariant.EVACUATED_ZONE, id + " executed " + late + " ms after the request");
+        }
+        executed(id);
+    }
+
     void ordered(EngineOrder order, String holder) {
         String first = holders.putIfAbsent(order.fencingToken(), holder);
         if (first != null && !first.equals(holder)) {
@@ -86,7 +105,7 @@
         }
     }
 
-    void executed(String id) {
+    private void executed(String id) {
         SentRequest request = requests.get(id);
         int times = executions.merge(id, 1, Integer::sum);
         if (request.onceAtMost() && times > 1) {
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchCommand.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchCommand.java
@@ -20,13 +20,15 @@
     @Option(names = "--older-copies", description = "Restores the store from copies that are a few seconds old.")
     private boolean olderCopies;
 
+    @Option(names = "--evacuations", description = "Evacuates the zone of an engine and takes it back.")
+    private boolean evacuations;
+
     @Override
     public Integer call() {
         long failed = 0;
         long completed = 0;
         for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
-            FleetSearchRun.Result result =
-                    olderCopies ? FleetSearchRun.runWithOlderCopies(seed) : FleetSearchRun.run(seed);
+            FleetSearchRun.Result result = run(seed);
             completed += result.completed();
             if (!result.violations().isEmpty()) {
                 failed++;
@@ -36,4 +38,11 @@
         System.out.println("runs=" + runs + " failed=" + failed + " completed=" + completed);
         return failed == 0 ? 0 : 1;
     }
+
+    private FleetSearchRun.Result run(long seed) {
+        if (evacuations) {
+            return FleetSearchRun.runWithEvacuations(seed);
+        }
+        return olderCopies ? FleetSearchRun.runWithOlderCopies(seed) : FleetSearchRun.run(seed);
+    }
 }
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchRun.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchRun.java
@@ -26,6 +26,7 @@
     private final EventQueue queue = new EventQueue();
     private final Random random;
     private final Optional<Random> restores;
+    private final Optional<Random> evacuations;
     private final FleetInvariantChecker checker;
     private final SimulatedTargets targets;
     private final FleetSimulation fleet;
@@ -37,26 +38,32 @@
     public record Result(long seed, int completed, List<FleetViolation> violations) {}
 
     private FleetSearchRun(
-            long seed, boolean enginesCheckTokens, boolean entriesRelyOnIt, boolean storeComesBackOlder) {
+            long seed,
+            boolean enginesCheckTokens,
+            boolean entriesRelyOnIt,
+            boolean storeComesBackOlder,
+            boolean evacuates) {
         this.random = new Random(seed);
         // A separate source keeps the other failures of a seed the same with and without restores.
         this.restores = storeComesBackOlder ? Optional.of(new Random(-seed)) : Optional.empty();
+        this.evacuations = evacuates ? Optional.of(new Random(~seed)) : Optional.empty();
         this.checker = new FleetInvariantChecker(queue::nowMillis, FleetSearchSite.LIMITED_RATE);
         this.targets = new SimulatedTargets(queue, random, checker);
         this.fleet = new FleetSimulation(queue, random, targets, checker::refused);
         this.faults = new FleetFaultInjector(queue, fleet, targets, checker, random, CHAOS_MILLIS);
-        targets.add(engine("e1", enginesCheckTokens, "m1", "m2"));
-        targets.add(engine("e2", enginesCheckTokens, "m3", "m4"));
-        targets.add(engine("e3", enginesCheckTokens, "m5"));
-        targets.add(engine("e4", enginesCheckTokens));
+        targets.add(engine("e1", FleetSearchSite.ZONE, enginesCheckTokens, "m1", "m2"));
+        targets.add(engine("e2", FleetSearchSite.ZONE, enginesCheckTokens, "m3", "m4"));
+        String evacuated = evacuates ? FleetSearchSite.EVACUATED_ZONE : FleetSearchSite.ZONE;
+        targets.add(engine("e3", evacuated, enginesCheckTokens, "m5"));
+        targets.add(engine("e4", FleetSearchSite.ZONE, enginesCheckTokens));
         for (int entry = 0; entry < ENTRIES; entry++) {
-            fleet.add("entry-" + entry, "zone-1", FleetSearchSite.bounds(entriesRelyOnIt));
+            fleet.add("entry-" + entry, FleetSearchSite.ZONE, FleetSearchSite.bounds(entriesRelyOnIt));
         }
     }
 
-    private SimulatedEngine engine(String id, boolean checksTokens, String... models) {
+    private SimulatedEngine engine(String id, String zone, boolean checksTokens, String... models) {
         return new SimulatedEngine(
-                queue, checker, FleetSearchSite.ENGINE, checksTokens, FleetSearchSite.engine(id, Set.of(models)));
+                queue, checker, FleetSearchSite.ENGINE, checksTokens, FleetSearchSite.engine(id, zone, Set.of(models)));
     }
 
     /** Performs a run; engines check fencing tokens only if the seed is even. */
@@ -68,7 +75,15 @@
     /** Performs a run in which the store is restored from older copies at random times. */
     public static Result runWithOlderCopies(long seed) {
         boolean checked = seed % 2 == 0;
-        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, true);
+        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, true, false);
+        run.perform();
+        return new Result(seed, run.checker.completed(), run.checker.violations());
+    }
+
+    /** Performs a run in which the zone of one engine is evacuated and taken back at random times. */
+    public static Result runWithEvacuations(long seed) {
+        boolean checked = seed % 2 == 0;
+        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, false, true);
         run.perform();
         return new Result(seed, run.checker.completed(), run.checker.violations());
     }
@@ -80,7 +95,7 @@
      * @param entriesRelyOnIt whether entries are configured to rely on this check
      */
     static Result run(long seed, boolean enginesCheckTokens, boolean entriesRelyOnIt) {
-        FleetSearchRun run = new FleetSearchRun(seed, enginesCheckTokens, entriesRelyOnIt, false);
+        FleetSearchRun run = new FleetSearchRun(seed, enginesCheckTokens, entriesRelyOnIt, false, false);
         run.perform();
         return new Result(seed, run.checker.completed(), run.checker.violations());
     }
@@ -95,6 +110,7 @@
         queue.runUntil(2_000);
         faults.start();
         restores.ifPresent(faults::startRestores);
+        evacuations.ifPresent(faults::startEvacuations);
         queue.every(ARRIVAL_MILLIS, this::arrive);
         queue.runUntil(CHAOS_MILLIS);
         faults.heal();
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.CallerLimits;
 import org.jackdawbeam.model.fleet.CallerRequest;
@@ -24,6 +25,8 @@
 final class FleetSearchSite {
     static final String ENGINES = "engines";
     static final String SERVICE = "payments";
+    static final String ZONE = "zone-1";
+    static final String EVACUATED_ZONE = "zone-2";
     static final String KEY = "key";
     static final String LIMITED_KEY = "limited-key";
     static final double LIMITED_RATE = 1_000;
@@ -37,7 +40,8 @@
     private FleetSearchSite() {}
 
     static FleetBounds bounds(boolean enginesCheckTokens) {
-        return new FleetBounds(5_000, enginesCheckTokens, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5);
+        return new FleetBounds(5_000, enginesCheckTokens, 3_000, 8_000, 0.2, 56, 10_000, 5_000, 5)
+                .withEvacuateMillis(OptionalLong.of(5_000));
     }
 
     /** Returns a configuration whose unlimited workspace has a permanent key and one that changes per version. */
@@ -58,12 +62,12 @@
                         workspace("l", Set.of(LIMITED_KEY), LIMITED_RATE)));
     }
 
-    static TargetDescription engine(String id, Set<String> models) {
-        return new TargetDescription(id, ENGINES, id + ":1", "zone-1", 64, false, models, Set.of(), 0, 0);
+    static TargetDescription engine(String id, String zone, Set<String> models) {
+        return new TargetDescription(id, ENGINES, id + ":1", zone, 64, false, models, Set.of(), 0, 0);
     }
 
     static TargetDescription service() {
-        return new TargetDescription("service", SERVICE, "service:1", "zone-1", 64, false, Set.of(), Set.of(), 0, 0);
+        return new TargetDescription("service", SERVICE, "service:1", ZONE, 64, false, Set.of(), Set.of(), 0, 0);
     }
 
     /** Returns a request whose id encodes the model and adapter that it needs. */
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/SimulatedTargets.java
@@ -84,7 +84,7 @@
             fleet.answerAttempt(member, attempt, LINK_MILLIS, status, true);
             return;
         }
-        checker.executed(start.callerRequestId());
+        checker.executed(start.callerRequestId(), start.target().zone());
         if (random.nextDouble() < lostAnswerProbability) {
             fleet.submitLater(
                     member,
--- a/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/FleetSearchRunTest.java
+++ b/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/FleetSearchRunTest.java
@@ -33,6 +33,15 @@
         assertThat(result.completed()).isGreaterThan(200);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void invariantsHoldWhileAZoneIsEvacuatedAndTakenBack(long seed) {
+        FleetSearchRun.Result result = FleetSearchRun.runWithEvacuations(seed);
+
+        assertThat(result.violations()).isEmpty();
+        assertThat(result.completed()).isGreaterThan(200);
+    }
+
     @Test
     void handoverGapIsViolatedIfEntriesWronglyRelyOnFencingByEngines() {
         Set<FleetInvariant> broken = new HashSet<>();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -31,7 +31,6 @@
         next = dropExpiredReservations(next, nowMillis);
         Map<String, DemandEstimate> estimates = next.placement().trend().estimates(service, currentDemand, nowMillis);
         boolean mayDisplace = next.placement().trend().hasEnoughHistory(nowMillis)
-                || !next.evacuations().isEmpty()
                 || estimates.values().stream().anyMatch(estimate -> estimate.waiting() > 0);
         double underestimationFactor = next.placement().trend().underestimationFactor(nowMillis);
         for (int moves = 0; moves < MAX_MOVES; moves++) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetMetricsTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetMetricsTest.java
@@ -30,7 +30,10 @@
         metrics.onEvent(state, new FleetEvent.Ticked(1));
 
         assertThat(new String(metrics.text(), StandardCharsets.UTF_8))
-                .contains("jackdawbeam_open_requests 0.0", "jackdawbeam_placement_duty 0.0", "jackdawbeam_evacuated_zones 0.0");
+                .contains(
+                        "jackdawbeam_open_requests 0.0",
+                        "jackdawbeam_placement_duty 0.0",
+                        "jackdawbeam_evacuated_zones 0.0");
     }
 
     @Test
