--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -35,7 +35,7 @@
         double underestimationFactor = next.placement().trend().underestimationFactor(nowMillis);
         for (int moves = 0; moves < MAX_MOVES; moves++) {
             FleetState current = next;
-            List<ReplicaPlanner.Engine> engines = Engines.all(current, service).stream()
+            List<ReplicaPlanner.Engine> engines = Engines.placeable(current, service).stream()
                     .map(target -> plannedEngine(current, engine, target, nowMillis))
                     .toList();
             long loading = engines.stream()
