Read how services warm up and how long targets stay cold

Cause: coldS and coldPerS of a service, coldOvershoot and coldSlack of the bounds and coldLeftMs of a list entry were not read. Change: ServiceDefinition has an optional WarmUp, FleetBounds an optional ColdTolerance, TargetDescription the remaining cold time. Ruled out: required settings, which would stop earlier deployments. Hubs pass on list entries whose cold time has changed; that is more messages only while a target is cold.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
@@ -1,5 +1,7 @@
 package org.jackdawbeam.model.fleet;
 
+import java.util.Optional;
+
 /**
  * Time limits and rates set by the deployment.
  *
@@ -13,6 +15,7 @@
  * @param retryWindowMillis length of the window for the retry limits
  * @param loadWindowMillis length of the window for the limit on loads from the weight store
  * @param directoryTtlSeconds maximum time for which callers may cache a response of the directory
+ * @param coldTolerance bound on the requests to cold targets; empty if they need no protection
  */
 public record FleetBounds(
         long revokeMillis,
@@ -23,4 +26,45 @@
         double retrySlack,
         long retryWindowMillis,
         long loadWindowMillis,
-        int directoryTtlSeconds) {}
+        int directoryTtlSeconds,
+        Optional<ColdTolerance> coldTolerance) {
+
+    /** Creates the bounds of a deployment whose cold targets need no protection. */
+    public FleetBounds(
+            long revokeMillis,
+            boolean enginesCheckTokens,
+            long leadershipGapMillis,
+            long graceMillis,
+            double retryRatio,
+            double retrySlack,
+            long retryWindowMillis,
+            long loadWindowMillis,
+            int directoryTtlSeconds) {
+        this(
+                revokeMillis,
+                enginesCheckTokens,
+                leadershipGapMillis,
+                graceMillis,
+                retryRatio,
+                retrySlack,
+                retryWindowMillis,
+                loadWindowMillis,
+                directoryTtlSeconds,
+                Optional.empty());
+    }
+
+    /** Returns the bounds with the given tolerance of cold targets. */
+    public FleetBounds withColdTolerance(ColdTolerance tolerance) {
+        return new FleetBounds(
+                revokeMillis,
+                enginesCheckTokens,
+                leadershipGapMillis,
+                graceMillis,
+                retryRatio,
+                retrySlack,
+                retryWindowMillis,
+                loadWindowMillis,
+                directoryTtlSeconds,
+                Optional.of(tolerance));
+    }
+}
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/TargetDescription.java
@@ -14,6 +14,7 @@
  * @param startedAtMillis Unix time of the start; a different value under the same id means that the target has
  *     restarted
  * @param orderCount number of orders accepted since the start
+ * @param coldMillis how long the target stayed cold after it published this, zero if it was warm
  */
 public record TargetDescription(
         String id,
@@ -25,18 +26,50 @@
         Set<String> models,
         Set<String> atHand,
         long startedAtMillis,
-        long orderCount) {
+        long orderCount,
+        long coldMillis) {
+
+    /** Creates the description of a warm target. */
+    public TargetDescription(
+            String id,
+            String service,
+            String address,
+            String zone,
+            int slots,
+            boolean leaving,
+            Set<String> models,
+            Set<String> atHand,
+            long startedAtMillis,
+            long orderCount) {
+        this(id, service, address, zone, slots, leaving, models, atHand, startedAtMillis, orderCount, 0);
+    }
+
+    /** Returns the description with the given remaining cold time. */
+    public TargetDescription withColdMillis(long millis) {
+        return new TargetDescription(
+                id, service, address, zone, slots, leaving, models, atHand, startedAtMillis, orderCount, millis);
+    }
 
     /** Returns the description with the given models. */
     public TargetDescription withModels(Set<String> held) {
         return new TargetDescription(
-                id, service, address, zone, slots, leaving, held, atHand, startedAtMillis, orderCount);
+                id, service, address, zone, slots, leaving, held, atHand, startedAtMillis, orderCount, coldMillis);
     }
 
     /** Returns whether both descriptions are equal except for the order count. */
     public boolean equalsIgnoringOrderCount(TargetDescription other) {
         TargetDescription counted = new TargetDescription(
-                id, service, address, zone, slots, leaving, models, atHand, startedAtMillis, other.orderCount);
+                id,
+                service,
+                address,
+                zone,
+                slots,
+                leaving,
+                models,
+                atHand,
+                startedAtMillis,
+                other.orderCount,
+                coldMillis);
         return counted.equals(other);
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/codec/MessageMapperTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +19,8 @@
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.QuarantineReport;
 import org.jackdawbeam.model.fleet.QuarantineScope;
+import org.jackdawbeam.model.fleet.ServiceDefinition;
+import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.log.LogRecord;
 import org.jackdawbeam.model.member.Epoch;
 import org.jackdawbeam.model.member.Member;
@@ -101,6 +105,26 @@
         }
     }
 
+    // Messages of a build that knows nothing of cold targets.
+    @Test
+    void descriptionAndConfigurationWithoutWarmUpAreRead() throws IOException {
+        MessageMapper mapper = MessageMapper.messagePack();
+        TargetDescription target =
+                new TargetDescription("t", "s", "10.0.0.1:1", "z", 1, false, Set.of(), Set.of(), 1, 0);
+        ServiceDefinition service = new ServiceDefinition("s", 10, Optional.empty());
+
+        assertThat(readWithout(mapper, target, "coldMillis", TargetDescription.class))
+                .isEqualTo(target);
+        assertThat(readWithout(mapper, service, "warmUp", ServiceDefinition.class))
+                .isEqualTo(service);
+    }
+
+    private static <T> T readWithout(MessageMapper mapper, T value, String field, Class<T> type) throws IOException {
+        ObjectNode tree = (ObjectNode) mapper.objectMapper().readTree(mapper.write(value));
+        assertThat(tree.remove(field)).isNotNull();
+        return mapper.read(mapper.objectMapper().writeValueAsBytes(tree), type);
+    }
+
     @Test
     void changesOfLoadRoundTrip() {
         MessageMapper mapper = MessageMapper.messagePack();
