Entries together keep the rate of cold targets

Cause: a zone whose targets return idle and cold attracts the requests of all entries at once. Change: org.jackdawbeam.logic.rate holds the shared rate of decision 21 with a second source, the cold time. Both may apply to a target; a request needs both permissions. Cold times come from the list, from lost connections (the target may have started again under its id) and from zones that are used again (a hook for the evacuation of zones, not called yet). Others are preferred to a cold target while they serve in time; models of a target that stays cold for long are loaded elsewhere. In services that warm up a request leaves within 250 ms or is decided again. Without warm-up in configuration and bounds nothing changes. Open: requests for a model that only cold engines hold are sent by a few entries; the others wait or refuse.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -42,8 +42,11 @@
         FleetRequest request = found.get().withArrival();
         String id = ((RequestPhase.Running) request.phase()).target();
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
-        FleetState loaded =
-                withTarget(notified, id, target -> target.withStatement(event.statement(), event.nowMillis()));
+        FleetState loaded = withTarget(
+                notified,
+                id,
+                target -> WarmUpFlow.onAnswer(state, target, event.nowMillis())
+                        .withStatement(event.statement(), event.nowMillis()));
         FleetState limited = limits.onTargetAnswer(
                 loaded,
                 id,
@@ -183,7 +186,10 @@
         FleetState updated = withTarget(
                 recordLoss(state, found.get(), event, effects),
                 id,
-                target -> connectionFailed ? target.unreachable(event.nowMillis()) : target.answeredWithError());
+                target -> connectionFailed
+                        ? WarmUpFlow.onUnreachable(
+                                state, target.unreachable(event.nowMillis()), event.nowMillis(), effects)
+                        : target.answeredWithError());
         FleetRequest request = event.written() ? found.get().withArrival() : found.get();
         return retryOrRefuse(
                 updated, request, id, event.written(), event.failure().name(), event.nowMillis(), effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -143,8 +143,8 @@
         long retryMillis = LIMITED_RETRY_MILLIS
                 + Math.floorMod(request.call().callerRequestId().hashCode(), LIMITED_RETRY_MILLIS);
         FleetState returned = request.hasNotRun() ? quota.refund(state, request, nowMillis, effects) : state;
-        String reason = "every target limits the requests of all entries, the first to "
-                + limited.getFirst().limit().orElseThrow().requestsPerSecond() + " per second";
+        String reason = "every target limits the requests of all entries or is cold, the first is "
+                + limited.getFirst().description().id();
         return refuse(returned, request, refusal(request, RefusalCode.QUEUE_FULL, retryMillis), reason, effects);
     }
 
@@ -258,7 +258,7 @@
         String id = target.description().id();
         OutstandingAttempt outstandingAttempt = new OutstandingAttempt(
                 nowMillis, choice.prefillTokens(), choice.queuedAheadTokens(), choice.estimateMillis(), late, false);
-        FleetTarget updated = target.withLimit(target.limit().map(RequestLimit::spent))
+        FleetTarget updated = TargetLimitGate.spend(target)
                 .withAttempt(attempt, outstandingAttempt)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixHashes(request), nowMillis));
         effects.add(new FleetEffect.StartAttempt(
@@ -266,7 +266,7 @@
                 request.call().callerRequestId(),
                 target.description(),
                 request.expiresAtMillis(),
-                sendUntilMillis(state, request, target),
+                sendUntilMillis(state, request, target, nowMillis),
                 request.workspace(),
                 late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
@@ -283,10 +283,12 @@
     }
 
     /** Returns the time until which the key is known to be valid and the target is not known to be gone. */
-    private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target) {
+    private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target, long nowMillis) {
         long keyValidUntil =
                 request.workspace().isPresent() ? FeedFlow.withdrawalsValidUntilMillis(state) : Long.MAX_VALUE;
-        return Math.min(keyValidUntil, target.goneAtMillis().orElse(Long.MAX_VALUE));
+        long permittedUntil = WarmUpFlow.sendUntilMillis(state, target, nowMillis);
+        return Math.min(
+                Math.min(keyValidUntil, permittedUntil), target.goneAtMillis().orElse(Long.MAX_VALUE));
     }
 
     private static long typicalPrefillMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FeedFlow.java
@@ -207,7 +207,8 @@
                     "models",
                     String.join("+", update.models())));
         }
-        return state.with(known == null ? FleetTarget.of(update) : known.withDescription(update, nowMillis));
+        FleetTarget listed = known == null ? FleetTarget.of(update) : known.withDescription(update, nowMillis);
+        return state.with(WarmUpFlow.onListed(state, Optional.ofNullable(known), listed, update, nowMillis, effects));
     }
 
     private static FleetState removeUnlistedTargets(
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -24,6 +24,7 @@
     private final HubWorkFlow hubWork = new HubWorkFlow();
     private final TargetLeavingFlow leaving = new TargetLeavingFlow();
     private final TargetLimitFlow limits = new TargetLimitFlow();
+    private final WarmUpFlow warmUp = new WarmUpFlow();
     private final ModelWaitFlow modelWaits = new ModelWaitFlow();
     private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow());
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
@@ -91,6 +92,7 @@
     private FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = feeds.tick(state, nowMillis, effects);
         next = leadership.tick(next, nowMillis, effects);
+        next = warmUp.tick(next, nowMillis, effects);
         next = modelWaits.tick(next, nowMillis);
         next = peers.tick(next, nowMillis, effects);
         next = hubs.tick(next, nowMillis, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.jackdawbeam.logic.rate.ColdTime;
+import org.jackdawbeam.logic.rate.RequestLimit;
 import org.jackdawbeam.logic.target.PrefixIndex;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetLoad;
@@ -24,6 +26,7 @@
  * @param load load that it stated with its latest answer
  * @param announcedLeaving whether it has stated with an answer, to this entry or another, that it is about to leave
  * @param limit limit on the requests of all entries, while the target states one
+ * @param cold time in which the target is taken to be cold
  * @param residencyAtMillis when the placement leader last announced its models; far in the past if never
  * @param goneAtMillis time from which it is considered gone, if its entry in the list has expired
  */
@@ -37,6 +40,7 @@
         Optional<TargetLoad> load,
         boolean announcedLeaving,
         Optional<RequestLimit> limit,
+        Optional<ColdTime> cold,
         long residencyAtMillis,
         OptionalLong goneAtMillis) {
     private static final long NEVER = -1_000_000_000;
@@ -57,6 +61,7 @@
                 Optional.empty(),
                 false,
                 Optional.empty(),
+                Optional.empty(),
                 NEVER,
                 OptionalLong.empty());
     }
@@ -129,6 +134,10 @@
         return changed(builder -> builder.limit = stated);
     }
 
+    FleetTarget withCold(Optional<ColdTime> changed) {
+        return changed(builder -> builder.cold = changed);
+    }
+
     /** Returns whether the target is about to leave, by the list or by its own statement, whichever came first. */
     boolean isLeaving() {
         return announcedLeaving || description.leaving();
@@ -219,6 +228,7 @@
         private Optional<TargetLoad> load;
         private boolean announcedLeaving;
         private Optional<RequestLimit> limit;
+        private Optional<ColdTime> cold;
         private long residencyAtMillis;
         private OptionalLong goneAtMillis;
 
@@ -232,6 +242,7 @@
             load = source.load;
             announcedLeaving = source.announcedLeaving;
             limit = source.limit;
+            cold = source.cold;
             residencyAtMillis = source.residencyAtMillis;
             goneAtMillis = source.goneAtMillis;
         }
@@ -247,6 +258,7 @@
                     load,
                     announcedLeaving,
                     limit,
+                    cold,
                     residencyAtMillis,
                     goneAtMillis);
         }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -20,6 +20,8 @@
     /** Unloading waits several seconds for the last running request. */
     private static final long RESERVATION_MILLIS = 8_000;
 
+    private static final int COLD_LOADS = 3; // with the wait for the order and the room
+
     private static final double ANSWER_SECONDS = 0.3; // upper bound of the time to an answer to an order
 
     /** Plans for the engines of one service. */
@@ -163,16 +165,26 @@
         if (!engineState.isIdle()) {
             kept.removeAll(target.unloading());
         }
+        long coldMillis = WarmUpFlow.remainingMillis(state, target, nowMillis);
+        boolean replaced = kept.removeIf(model -> isReplaced(definition, model, coldMillis));
         return new ReplicaPlanner.Engine(
                 id,
                 target.limit().isPresent() ? Set.of() : Set.copyOf(kept),
                 reservedModels(state, target, nowMillis),
                 (nowMillis - engineState.changedAtMillis()) / MILLIS_PER_SECOND,
-                readyInSeconds(definition, target, engineState, longRunMillis, nowMillis),
+                replaced
+                        ? Double.POSITIVE_INFINITY
+                        : readyInSeconds(definition, target, engineState, longRunMillis, nowMillis),
                 incomingModel,
                 target.description().atHand());
     }
 
+    /** Returns whether another engine could load a model well before the cold one that holds it is warm. */
+    private static boolean isReplaced(EngineDefinition definition, String model, long coldMillis) {
+        ModelDefinition known = definition.models().get(model);
+        return known != null && coldMillis > COLD_LOADS * known.loadMillis();
+    }
+
     private static Set<String> reservedModels(FleetState state, FleetTarget target, long nowMillis) {
         return Engines.laterLoads(state, target, nowMillis).stream()
                 .filter(order -> order.adapter().isEmpty())
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -90,6 +90,8 @@
         // Not part of the estimate: if admission refused requests because of failures, the share would never decrease.
         double penalty = target.health().failureShare() * FAILURE_MILLIS;
         penalty += avoided || request.tried().contains(id) ? AVOIDED_MILLIS : 0;
+        // Others are preferred to a cold target while they serve in time.
+        penalty += target.cold().isPresent() ? inTimeMillis(request, nowMillis) : 0;
         // The other entries send late requests too, but do not report them.
         double latePrefillTokens = engine ? target.latePendingPrefillTokens() * (double) state.memberCount() : 0;
         double lateEstimate =
@@ -186,6 +188,10 @@
         return SERVICE_CALL_MILLIS * (1 + (double) (running + waiting) / slots);
     }
 
+    private static long inTimeMillis(FleetRequest request, long nowMillis) {
+        return Math.max(0, request.arrivedAtMillis() + request.route().objectiveMillis() - nowMillis);
+    }
+
     private static double overdueMillis(FleetTarget target, long nowMillis) {
         return target.outstanding().values().stream()
                 .mapToLong(attempt -> attempt.overdueMillis(nowMillis, OVERDUE_ALLOWANCE_MILLIS))
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetLimitFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetLimitFlow.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.jackdawbeam.logic.rate.RequestLimit;
 import org.jackdawbeam.model.fleet.FleetMessage;
 
 /** Learns from the answers of targets how many requests they accept from all entries together, and tells the others. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetLimitGate.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetLimitGate.java
@@ -2,48 +2,74 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.jackdawbeam.logic.rate.ColdTime;
+import org.jackdawbeam.logic.rate.RequestBucket;
+import org.jackdawbeam.logic.rate.RequestLimit;
+import org.jackdawbeam.logic.rate.SharedRate;
 
 /**
- * Decides which requests this entry may send to targets that limit the requests of all entries together. A few entries,
- * the first in rendezvous order for the target, may send; each has an equal part of the limit and may send one request
- * at once. The fewer requests a target accepts, the fewer entries there are, so that those single requests stay small
- * against what the target tolerates, and the parts stay large enough to be used.
+ * Decides which requests this entry may send to targets that accept only some requests from all entries together, as
+ * they state a limit or are cold. Where both apply, a request needs both permissions.
  */
 final class TargetLimitGate {
-    private static final int MIN_SENDERS = 3; // single requests at once that every target tolerates
-    private static final double SENDERS_PER_REQUEST_SECOND = 2;
-    /** Lowest rate of all entries together. Without requests nobody would learn that a limit has ended. */
-    private static final double MIN_REQUESTS_PER_SECOND = 0.25;
-
     private TargetLimitGate() {}
 
-    /** Returns the target with the requests that have accrued, if it has a limit. */
+    /** Returns the target with the requests that have accrued, and without a cold time that does not bind. */
     static FleetTarget accrue(FleetState state, FleetTarget target, long nowMillis) {
-        Optional<RequestLimit> accrued =
-                target.limit().map(limit -> limit.accrued(ownRate(state, target, limit, nowMillis), nowMillis));
-        return accrued.isEmpty() ? target : target.withLimit(accrued);
+        if (target.limit().isEmpty() && target.cold().isEmpty()) {
+            return target;
+        }
+        Optional<RequestLimit> limit = target.limit()
+                .map(known -> known.withBucket(
+                        known.bucket().accrued(ownPart(state, target, known.rate(), nowMillis), nowMillis)));
+        Optional<ColdTime> cold = target.cold()
+                .flatMap(known -> WarmUpFlow.rate(state, target)
+                        .map(rate -> known.withBucket(
+                                known.bucket().accrued(ownPart(state, target, rate, nowMillis), nowMillis))));
+        return target.withLimit(limit).withCold(cold);
     }
 
     /** Returns whether a request may be sent to the target, whose requests have accrued. */
     static boolean admits(FleetTarget target) {
-        return target.limit().map(RequestLimit::admits).orElse(true);
+        return target.limit().map(limit -> limit.bucket().admits()).orElse(true)
+                && target.cold().map(cold -> cold.bucket().admits()).orElse(true);
+    }
+
+    /** Returns the target after a request was sent to it. */
+    static FleetTarget spend(FleetTarget target) {
+        return target.withLimit(target.limit()
+                        .map(limit -> limit.withBucket(limit.bucket().spent())))
+                .withCold(
+                        target.cold().map(cold -> cold.withBucket(cold.bucket().spent())));
     }
 
     /** Returns when this entry may send the next request to the target; empty if only other entries may. */
     static OptionalLong admittedAtMillis(FleetState state, FleetTarget target, long nowMillis) {
-        double rate = ownRate(state, target, target.limit().orElseThrow(), nowMillis);
-        return rate == 0
+        OptionalLong byLimit = target.limit()
+                .map(limit -> nextAtMillis(limit.bucket(), ownPart(state, target, limit.rate(), nowMillis), nowMillis))
+                .orElse(OptionalLong.of(nowMillis));
+        OptionalLong byCold = WarmUpFlow.rate(state, target)
+                .map(rate -> untilWarm(target.cold().orElseThrow(), ownPart(state, target, rate, nowMillis), nowMillis))
+                .orElse(OptionalLong.of(nowMillis));
+        return byLimit.isEmpty() || byCold.isEmpty()
                 ? OptionalLong.empty()
-                : OptionalLong.of(nowMillis + target.limit().get().millisUntilAdmitted(rate));
+                : OptionalLong.of(Math.max(byLimit.getAsLong(), byCold.getAsLong()));
+    }
+
+    private static OptionalLong untilWarm(ColdTime cold, double part, long nowMillis) {
+        long next = nextAtMillis(cold.bucket(), part, nowMillis).orElse(ColdTime.UNKNOWN_END);
+        long first = Math.min(next, cold.untilMillis());
+        return first == ColdTime.UNKNOWN_END ? OptionalLong.empty() : OptionalLong.of(first);
+    }
+
+    private static OptionalLong nextAtMillis(RequestBucket bucket, double part, long nowMillis) {
+        return part == 0 ? OptionalLong.empty() : OptionalLong.of(nowMillis + bucket.millisUntilAdmitted(part));
     }
 
-    private static double ownRate(FleetState state, FleetTarget target, RequestLimit limit, long nowMillis) {
-        double reachableShare = QuotaFlow.reachableShare(state, nowMillis);
-        double limited = Math.max(MIN_REQUESTS_PER_SECOND, limit.requestsPerSecond());
-        double allowedSenders = MIN_SENDERS + SENDERS_PER_REQUEST_SECOND * limit.requestsPerSecond();
-        // Parts of a fleet that do not hear each other choose senders of their own, so each chooses fewer.
-        int senders = (int) Math.max(1, Math.min(state.memberCount(), allowedSenders) * reachableShare);
-        boolean sends = QuotaFlow.ownRank(state, target.description().id(), nowMillis) < senders;
-        return sends ? limited * reachableShare / senders : 0;
+    private static double ownPart(FleetState state, FleetTarget target, SharedRate rate, long nowMillis) {
+        return rate.part(
+                state.memberCount(),
+                QuotaFlow.reachableShare(state, nowMillis),
+                QuotaFlow.ownRank(state, target.description().id(), nowMillis));
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -42,6 +42,7 @@
     private final Gauge quarantinedParts;
     private final Gauge quarantinedRequests;
     private final Gauge limitedTargets;
+    private final Gauge coldTargets;
     private final Gauge suspectedLosses;
     private final Gauge waitingModels;
     private final Gauge longestModelWait;
@@ -72,6 +73,7 @@
         this.quarantinedRequests =
                 gauge("jackdawbeam_quarantined_requests", "Requests that are not sent to engines or services.");
         this.limitedTargets = gauge("jackdawbeam_limited_targets", "Targets that limit the requests of all entries.");
+        this.coldTargets = gauge("jackdawbeam_cold_targets", "Targets that are taken to be cold.");
         this.suspectedLosses = gauge(
                 "jackdawbeam_suspected_losses", "Recent losses of engines under requests that waited for answers.");
         this.waitingModels =
@@ -126,6 +128,9 @@
                 limitedTargets.set(state.targets().values().stream()
                         .filter(target -> target.limit().isPresent())
                         .count());
+                coldTargets.set(state.targets().values().stream()
+                        .filter(target -> target.cold().isPresent())
+                        .count());
                 suspectedLosses.set(state.requestQuarantine().losses().size());
                 waitingModels.set(state.modelWaits().byModel().size());
                 longestModelWait.set(state.modelWaits().longestMillis(ticked.nowMillis()) / MILLIS_PER_SECOND);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -23,6 +23,7 @@
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetReport;
 import org.jackdawbeam.model.fleet.TargetStatement;
+import org.jackdawbeam.model.fleet.WarmUp;
 import org.jackdawbeam.model.fleet.WeightedService;
 import org.jackdawbeam.model.fleet.Workspace;
 import org.jackdawbeam.model.request.AttemptId;
@@ -68,6 +69,21 @@
         return configuration(version, 100_000_000, KEY);
     }
 
+    /** Returns a configuration whose services warm up, with a workspace that never exceeds its rate. */
+    static FleetConfiguration warmingConfiguration(long version, long coldMillis, double requestsPerSecond) {
+        FleetConfiguration known = generousConfiguration(version);
+        WarmUp warmUp = new WarmUp(coldMillis, requestsPerSecond);
+        return FleetConfiguration.of(
+                version,
+                known.routesByHost().get("host"),
+                known.services().values().stream()
+                        .map(service -> new ServiceDefinition(
+                                service.name(), service.maximumConnections(), service.engine(), Optional.of(warmUp)))
+                        .toList(),
+                known.limits(),
+                List.copyOf(known.workspaces().values()));
+    }
+
     private static FleetConfiguration configuration(long version, double rate, String... keys) {
         return configuration(version, rate, 70_000, keys);
     }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/LimitedFleet.java
@@ -11,6 +11,9 @@
 import java.util.TreeMap;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetBounds;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetStatement;
 
 /** Entries with requests of their own before targets of one service, one of which limits its requests. */
@@ -21,6 +24,7 @@
 
     final Map<String, FleetFixture> hosts = new TreeMap<>();
     final List<Long> arrivals = new ArrayList<>();
+    final Map<String, List<Long>> arrivalsByTarget = new TreeMap<>();
     final List<FleetEffect.RefuseRequest> refusals = new ArrayList<>();
     long nowMillis = 100_000;
     OptionalDouble limit = OptionalDouble.empty();
@@ -127,6 +131,9 @@
 
     private void start(String host, FleetEffect.StartAttempt start) {
         boolean limited = start.target().id().equals(LIMITED);
+        arrivalsByTarget
+                .computeIfAbsent(start.target().id(), id -> new ArrayList<>())
+                .add(nowMillis);
         if (limited) {
             arrivals.add(nowMillis);
         }
@@ -138,8 +145,44 @@
         });
     }
 
+    /** Adds an entry that knows what the others have been told of members, targets and the configuration. */
+    void addHost(String id, FleetBounds bounds, FleetConfiguration configuration, TargetDescription... targets) {
+        FleetFixture fixture = new FleetFixture(FleetFixture.member(id));
+        fixture.nowMillis = nowMillis;
+        hosts.put(id, fixture);
+        configure(fixture, bounds, configuration);
+        fixture.listTargets(targets);
+        introduce();
+    }
+
+    /** Gives all entries other bounds and a newer configuration. */
+    void configure(FleetBounds bounds, FleetConfiguration configuration) {
+        hosts.values().forEach(fixture -> configure(fixture, bounds, configuration));
+    }
+
+    private void configure(FleetFixture fixture, FleetBounds bounds, FleetConfiguration configuration) {
+        fixture.nowMillis = nowMillis;
+        fixture.apply(new FleetEvent.BoundsChanged(nowMillis, bounds));
+        fixture.configure(configuration);
+    }
+
+    /** Tells all entries what targets publish of themselves. */
+    void listTargets(TargetDescription... targets) {
+        for (String host : List.copyOf(hosts.keySet())) {
+            FleetFixture fixture = hosts.get(host);
+            fixture.nowMillis = nowMillis;
+            fixture.listTargets(targets);
+            execute(host);
+        }
+    }
+
     /** Returns the largest number of requests at the limited target in any time of the given length. */
     long most(long fromMillis, long lengthMillis) {
+        return most(arrivals, fromMillis, lengthMillis);
+    }
+
+    /** Returns the largest number of the given arrivals in any time of the given length. */
+    static long most(List<Long> arrivals, long fromMillis, long lengthMillis) {
         return arrivals.stream()
                 .filter(start -> start >= fromMillis)
                 .mapToLong(start -> arrivals.stream()
