--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.jackdawbeam.model.refusal.Refusal;
@@ -143,8 +144,8 @@
         long retryMillis = LIMITED_RETRY_MILLIS
                 + Math.floorMod(request.call().callerRequestId().hashCode(), LIMITED_RETRY_MILLIS);
         FleetState returned = request.hasNotRun() ? quota.refund(state, request, nowMillis, effects) : state;
-        String reason = "every target limits the requests of all entries, the first to "
-                + limited.getFirst().limit().orElseThrow().requestsPerSecond() + " per second";
+        String reason = "every target limits the requests of all entries or is cold, the first is "
+                + limited.getFirst().description().id();
         return refuse(returned, request, refusal(request, RefusalCode.QUEUE_FULL, retryMillis), reason, effects);
     }
 
@@ -258,7 +259,7 @@
         String id = target.description().id();
         OutstandingAttempt outstandingAttempt = new OutstandingAttempt(
                 nowMillis, choice.prefillTokens(), choice.queuedAheadTokens(), choice.estimateMillis(), late, false);
-        FleetTarget updated = target.withLimit(target.limit().map(RequestLimit::spent))
+        FleetTarget updated = TargetLimitGate.spend(target)
                 .withAttempt(attempt, outstandingAttempt)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixHashes(request), nowMillis));
         effects.add(new FleetEffect.StartAttempt(
@@ -286,9 +287,13 @@
     private static long sendUntilMillis(FleetState state, FleetRequest request, FleetTarget target, long nowMillis) {
         long keyValidUntil =
                 request.workspace().isPresent() ? FeedFlow.withdrawalsValidUntilMillis(state) : Long.MAX_VALUE;
-        long zoneOpenUntil = EvacuationFlow.sendUntilMillis(state, target, nowMillis);
-        return Math.min(
-                Math.min(keyValidUntil, zoneOpenUntil), target.goneAtMillis().orElse(Long.MAX_VALUE));
+        return LongStream.of(
+                        keyValidUntil,
+                        EvacuationFlow.sendUntilMillis(state, target, nowMillis),
+                        WarmUpFlow.sendUntilMillis(state, target, nowMillis),
+                        target.goneAtMillis().orElse(Long.MAX_VALUE))
+                .min()
+                .getAsLong();
     }
 
     private static long typicalPrefillMillis(FleetState state, FleetRequest request, TargetChooser.Choice choice) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EvacuationFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/EvacuationFlow.java
@@ -34,7 +34,7 @@
                 listed.add(evacuated.zone());
                 next = start(next, evacuated.zone(), completeAt, read.nowMillis(), effects);
             } else if (entry instanceof FeedEntry.ZoneEvacuationEnded ended) {
-                next = end(next, ended.zone(), "taken back", effects);
+                next = end(next, ended.zone(), "taken back", read.nowMillis(), effects);
             }
         }
         if (!read.newest() || next.evacuations().isEmpty()) {
@@ -50,7 +50,7 @@
     static FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
         FleetState next = state;
         for (String zone : state.evacuations().overdue(nowMillis)) {
-            next = end(next, zone, "no longer listed", effects);
+            next = end(next, zone, "no longer listed", nowMillis, effects);
         }
         return next;
     }
@@ -113,13 +113,14 @@
         return state.with(started);
     }
 
-    private static FleetState end(FleetState state, String zone, String reason, List<FleetEffect> effects) {
+    private static FleetState end(
+            FleetState state, String zone, String reason, long nowMillis, List<FleetEffect> effects) {
         if (!state.evacuations().contains(zone)) {
             return state;
         }
         effects.add(FleetEffect.Note.of(
                 "zone_evacuation_ended", "zone", zone, "targets", countTargets(state, zone), "reason", reason));
-        return state.with(state.evacuations().without(zone));
+        return WarmUpFlow.onZoneReturned(state.with(state.evacuations().without(zone)), zone, nowMillis, effects);
     }
 
     private static long countTargets(FleetState state, String zone) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetBounds.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.model.fleet;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -17,6 +18,7 @@
  * @param directoryTtlSeconds maximum time for which callers may cache a response of the directory
  * @param evacuateMillis time within which the targets of an evacuated availability zone must stop getting requests, if
  *     the deployment states one
+ * @param coldTolerance bound on the requests to cold targets; empty if they need no protection
  */
 public record FleetBounds(
         long revokeMillis,
@@ -28,9 +30,10 @@
         long retryWindowMillis,
         long loadWindowMillis,
         int directoryTtlSeconds,
-        OptionalLong evacuateMillis) {
+        OptionalLong evacuateMillis,
+        Optional<ColdTolerance> coldTolerance) {
 
-    /** Creates the bounds of a deployment without a limit for evacuations. */
+    /** Creates the bounds of a deployment that neither evacuates zones nor protects cold targets. */
     public FleetBounds(
             long revokeMillis,
             boolean enginesCheckTokens,
@@ -51,11 +54,21 @@
                 retryWindowMillis,
                 loadWindowMillis,
                 directoryTtlSeconds,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                Optional.empty());
     }
 
     /** Returns the bounds with a time within which a zone must be evacuated. */
     public FleetBounds withEvacuateMillis(OptionalLong millis) {
+        return with(millis, coldTolerance);
+    }
+
+    /** Returns the bounds with the given tolerance of cold targets. */
+    public FleetBounds withColdTolerance(ColdTolerance tolerance) {
+        return with(evacuateMillis, Optional.of(tolerance));
+    }
+
+    private FleetBounds with(OptionalLong millis, Optional<ColdTolerance> tolerance) {
         return new FleetBounds(
                 revokeMillis,
                 enginesCheckTokens,
@@ -66,6 +79,7 @@
                 retryWindowMillis,
                 loadWindowMillis,
                 directoryTtlSeconds,
-                millis);
+                millis,
+                tolerance);
     }
 }
