--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/EntryProcess.java
@@ -73,6 +73,20 @@
         }
     }
 
+    /**
+     * Returns the number of descriptors that the current run has open.
+     *
+     * @throws UncheckedIOException if the process has ended, or the system does not tell
+     */
+    synchronized long openDescriptors() {
+        Path descriptors = Path.of("/proc", Long.toString(runs.getLast().pid()), "fd");
+        try (Stream<Path> open = Files.list(descriptors)) {
+            return open.count();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Returns the exit code of the last run, or empty while it is running. */
     synchronized Optional<Integer> exitCode() {
         return runs.isEmpty() || runs.getLast().isAlive()
@@ -99,14 +113,15 @@
         }
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(runtimeOptions);
         command.addAll(List.of(
                 "-Xmx160m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
                 "-XX:+ExitOnOutOfMemoryError",
                 "-Dio.netty.noPreferDirect=true",
-                "--enable-native-access=ALL-UNNAMED",
+                "--enable-native-access=ALL-UNNAMED"));
+        command.addAll(runtimeOptions); // of two options the later one holds
+        command.addAll(List.of(
                 "-cp",
                 System.getProperty("java.class.path"),
                 MAIN,
