--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptRelay.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import org.jackdawbeam.logic.fleet.FleetEffect.StartAttempt;
 import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.logic.fleet.FleetRequest;
 import org.jackdawbeam.model.request.AttemptFailure;
 import org.jackdawbeam.net.http.MergedHeadException;
 import org.jackdawbeam.net.target.AnswerHeadLimit;
@@ -156,7 +157,20 @@
                         Unpooled.wrappedBuffer(body),
                         headers,
                         EmptyHttpHeaders.INSTANCE))
-                .addListener(done -> requestFlushed = done.isSuccess());
+                .addListener(done -> flushed(done.isSuccess()));
+    }
+
+    private void flushed(boolean success) {
+        requestFlushed = success;
+        discardIfCallerLeft();
+    }
+
+    /** Frees a request that has been sent and is not sent again, because its caller is known to have left. */
+    void discardIfCallerLeft() {
+        FleetRequest known = loop.state().requests().get(start.attempt().requestId());
+        if (written && known != null && known.callerLeft()) {
+            request.exchange().discardRequest();
+        }
     }
 
     @Override
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/RequestRelay.java
@@ -131,8 +131,10 @@
     }
 
     private void callerLeft(long id) {
-        if (open.containsKey(id)) {
+        RelayedRequest request = open.get(id);
+        if (request != null) {
             loop.submit(new FleetEvent.CallerLeft(loop.nowMillis(), id));
+            request.attempt().ifPresent(AttemptRelay::discardIfCallerLeft);
         }
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpExchange.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,11 +25,13 @@
  * and {@link #endStream}.
  */
 public final class HttpExchange {
+    private static final byte[] NO_BODY = new byte[0];
+
     private final Channel channel;
     private final String method;
     private final String uri;
-    private final HttpHeaders headers;
-    private final byte[] body;
+    private volatile HttpHeaders headers;
+    private volatile byte[] body;
     private final boolean keepAlive;
     private final Runnable onFinished;
     private volatile boolean closeAfterResponse;
@@ -80,6 +83,12 @@
         return body;
     }
 
+    /** Frees the headers and the body of a request that is not going to be sent again. */
+    public void discardRequest() {
+        headers = EmptyHttpHeaders.INSTANCE;
+        body = NO_BODY;
+    }
+
     /** Returns whether the head of a streamed response has been sent. */
     public boolean isStreaming() {
         return streaming;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/HttpServer.java
@@ -12,9 +12,13 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import org.jackdawbeam.logic.budget.Holding;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.net.budget.ConnectionBudget;
+import org.jackdawbeam.net.budget.HeldAccount;
 
 /** An HTTP/1.1 server that listens on one address. */
 public final class HttpServer implements AutoCloseable {
@@ -43,6 +47,20 @@
      */
     public static HttpServer start(
             EventLoopGroup group, InetSocketAddress address, Supplier<HttpLimits> limits, HttpExchangeHandler handler) {
+        return start(group, address, limits, ConnectionBudget.unlimited(), handler);
+    }
+
+    /**
+     * Starts a server whose connections share a budget with others.
+     *
+     * @throws JackdawbeamException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be bound
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<HttpLimits> limits,
+            ConnectionBudget budget,
+            HttpExchangeHandler handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -51,7 +69,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel child) {
-                        initialize(child, limits.get(), handler);
+                        initialize(child, limits.get(), budget, handler);
                     }
                 });
         try {
@@ -76,16 +94,36 @@
         channel.close().syncUninterruptibly();
     }
 
-    private static void initialize(SocketChannel child, HttpLimits limits, HttpExchangeHandler handler) {
+    private static void initialize(
+            SocketChannel child, HttpLimits limits, ConnectionBudget budget, HttpExchangeHandler handler) {
+        HeldAccount account = budget.open(phase -> child.eventLoop().execute(() -> evict(child, phase)));
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maximumLineBytes())
-                .setMaxHeaderSize(limits.maximumHeaderBytes());
+                .setMaxHeaderSize(limits.maximumHeaderBytes())
+                .setHeadersFactory(CountedHeaders.factory(account))
+                .setTrailersFactory(CountedHeaders.ignored());
         ReceiveDeadline deadline = new ReceiveDeadline(limits.receiveMillis());
+        RequestAssembler assembler = new RequestAssembler(limits.maximumBodyBytes(), account);
+        AtomicReference<Runnable> resume = new AtomicReference<>();
+        ServerConnection connection = new ServerConnection(
+                handler, deadline, account, () -> resume.get().run());
+        RequestGate gate = new RequestGate(account, assembler, connection::isAccepting);
+        resume.set(gate::resume);
         child.pipeline()
                 .addLast(new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS))
+                .addLast(gate)
                 .addLast(deadline)
                 .addLast(new HttpServerCodec(config))
-                .addLast(new BoundedAggregator(limits.maximumBodyBytes()))
-                .addLast(new ServerConnection(handler, deadline));
+                .addLast(assembler)
+                .addLast(connection);
+    }
+
+    /** A client whose request is not complete is told that it has not run. */
+    private static void evict(SocketChannel child, Holding.Phase phase) {
+        if (phase == Holding.Phase.RECEIVING) {
+            child.pipeline().fireUserEventTriggered(HttpRequestError.OVERLOADED);
+        } else {
+            child.close();
+        }
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
@@ -14,8 +14,11 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.jackdawbeam.logic.budget.Holding;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.net.budget.ConnectionBudget;
+import org.jackdawbeam.net.budget.HeldAccount;
 import org.jackdawbeam.net.codec.MessageMapper;
 import org.tinylog.Logger;
 
@@ -43,6 +46,21 @@
             MessageMapper mapper,
             Class<M> messageType,
             Consumer<M> receiver) {
+        return start(group, address, mapper, messageType, ConnectionBudget.unlimited(), receiver);
+    }
+
+    /**
+     * Starts a server whose connections share a budget with others.
+     *
+     * @throws JackdawbeamException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be bound
+     */
+    public static <M> PeerServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            MessageMapper mapper,
+            Class<M> messageType,
+            ConnectionBudget budget,
+            Consumer<M> receiver) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -50,8 +68,11 @@
                     @Override
                     protected void initChannel(SocketChannel child) {
                         child.pipeline().addLast(new ReadTimeoutHandler(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+                        HeldAccount account =
+                                budget.open(phase -> child.eventLoop().execute(child::close));
+                        child.pipeline().addLast(new FrameAccount(account));
                         PeerFrames.addTo(child.pipeline());
-                        child.pipeline().addLast(new Receiver<>(mapper, messageType, receiver));
+                        child.pipeline().addLast(new Receiver<>(mapper, messageType, account, receiver));
                     }
                 });
         try {
@@ -74,17 +95,21 @@
     private static final class Receiver<M> extends SimpleChannelInboundHandler<ByteBuf> {
         private final MessageMapper mapper;
         private final Class<M> messageType;
+        private final HeldAccount account;
         private final Consumer<M> consumer;
         private long skipped;
 
-        Receiver(MessageMapper mapper, Class<M> messageType, Consumer<M> consumer) {
+        Receiver(MessageMapper mapper, Class<M> messageType, HeldAccount account, Consumer<M> consumer) {
             this.mapper = mapper;
             this.messageType = messageType;
+            this.account = account;
             this.consumer = consumer;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+            account.release(account.endRequest());
+            account.begin(Holding.Phase.IDLE);
             byte[] bytes = ByteBufUtil.getBytes(frame);
             M message;
             try {
@@ -93,6 +118,7 @@
                 skip(context, bytes.length, e);
                 return;
             }
+            account.begin(Holding.Phase.ANSWERING); // an entry is not closed for being idle
             consumer.accept(message);
         }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/target/TargetConnections.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jackdawbeam.model.time.MonotonicClock;
@@ -39,6 +40,7 @@
     private final EventLoopGroup group;
     private final MonotonicClock clock;
     private final AtomicLong lastNumber = new AtomicLong();
+    private final AtomicInteger open = new AtomicInteger();
     private final Map<InetSocketAddress, Deque<IdleChannel>> idle = new ConcurrentHashMap<>();
 
     private record IdleChannel(Channel channel, long reusableUntilMillis) {}
@@ -48,6 +50,11 @@
         this.clock = clock;
     }
 
+    /** Returns the number of open connections. */
+    public int openCount() {
+        return open.get();
+    }
+
     /** Passes a connection that has not carried the id to the receiver, or nothing if none can be opened. */
     public void acquire(InetSocketAddress address, String requestId, Consumer<Optional<Channel>> receiver) {
         Optional<Channel> pooled = takeIdle(address, requestId);
@@ -184,6 +191,8 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        open.incrementAndGet();
+                        channel.closeFuture().addListener(closed -> open.decrementAndGet());
                         channel.attr(CARRIED).set(new CarriedRequests(lastNumber.incrementAndGet()));
                         channel.pipeline()
                                 .addLast(new ConnectionEndGuard(), guard(channel))
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/BoundedMemoryTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/BoundedMemoryTest.java
@@ -22,8 +22,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * An entry process before a crowd that sends requests of legal size. Heap, memory and descriptors are smaller than those
- * of a host, and so is the crowd. Nothing here depends on the speed of the machine.
+ * An entry process before a crowd that sends requests of legal size. Heap, memory and descriptors are smaller than
+ * those of a host, and so is the crowd. Nothing here depends on the speed of the machine.
  */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class BoundedMemoryTest {
