Load sums and ranks are computed only where they can have changed

Change: the rank is counted when the wait for the lease is over; the load is summed only if the targets have changed since it was last compared; a change of load from the hub is applied to the sums in place of rebuilding them three times; no sets are built to add up work without adapters, or to see whether a model fits.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -50,7 +50,7 @@
         FleetState next =
                 chooseHub(state.with(state.hub().withoutSilent(nowMillis - hubTimeoutMillis())), nowMillis, effects);
         Digest digest = PeerFlow.digest(next, nowMillis);
-        next = next.with(new SentWork(nowMillis, nowMillis, digest.work()));
+        next = next.with(new SentWork(nowMillis, nowMillis, digest.work(), next.targets()));
         String hub = next.hub().id().orElse(state.self().id());
         if (!hub.equals(state.self().id())) {
             send(next, hub, digest, effects);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubWorkFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubWorkFlow.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -35,8 +36,7 @@
             case GROUP -> hub.withWorkOfGroup(change.sender(), known -> withChanges(known, change.changed()));
             case FLEET ->
                 hub.id().equals(Optional.of(change.sender()))
-                        ? hub.withFleetWork(
-                                byTarget(withChanges(List.copyOf(hub.fleetWork().values()), change.changed())))
+                        ? hub.withFleetWork(withChanges(hub.fleetWork(), change.changed()))
                         : hub;
         };
         FleetState next = state.with(changed);
@@ -46,16 +46,16 @@
     private static FleetState tellHub(FleetState state, long nowMillis, List<FleetEffect> effects) {
         Optional<FleetPeer> hub = state.hub().id().map(id -> state.peers().get(id));
         boolean due = nowMillis - state.sent().noticeAtMillis() >= FleetTimings.WORK_CHANGE_INTERVAL;
-        if (hub.isEmpty() || !due) {
+        if (hub.isEmpty() || !due || !state.sent().mayDiffer(state.targets())) {
             return state;
         }
         List<TargetWork> work = PeerFlow.work(state);
         List<TargetWork> changed = changes(byTarget(state.sent().work()), byTarget(work));
         if (changed.isEmpty()) {
-            return state;
+            return state.with(state.sent().withSame(state.targets()));
         }
         send(state, Stream.of(hub.get().member().peerAddress()), WorkScope.ENTRY, changed, effects);
-        return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work));
+        return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work, state.targets()));
     }
 
     /** Sends the sums that have changed since the latest message: of the group to other hubs, of all to the group. */
@@ -133,6 +133,19 @@
         return List.copyOf(changed);
     }
 
+    /** Returns the load by target after changes. */
+    private static Map<String, TargetWork> withChanges(Map<String, TargetWork> known, List<TargetWork> changed) {
+        Map<String, TargetWork> work = new HashMap<>(known);
+        for (TargetWork item : changed) {
+            if (item.running() == 0) {
+                work.remove(item.target());
+            } else {
+                work.put(item.target(), item.withoutAdapters());
+            }
+        }
+        return Collections.unmodifiableMap(work);
+    }
+
     /** Returns the load after changes; a target keeps the adapters that the latest heartbeat named. */
     private static List<TargetWork> withChanges(List<TargetWork> known, List<TargetWork> changed) {
         Map<String, TargetWork> work = new LinkedHashMap<>();
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -35,8 +35,9 @@
         boolean newFleet = leadership.observedEnd().getAsLong() == 0
                 && state.storeEra().number().isEmpty();
         long waitMillis = newFleet ? 0 : LEASE_MILLIS + gapMillis(state) + CLOCK_MARGIN_MILLIS;
-        boolean due = nowMillis - leadership.observedAtMillis()
-                >= waitMillis + RANK_DELAY_MILLIS * PeerFlow.rank(state, nowMillis);
+        long silentMillis = nowMillis - leadership.observedAtMillis();
+        boolean due = silentMillis >= waitMillis
+                && silentMillis >= waitMillis + RANK_DELAY_MILLIS * PeerFlow.rank(state, nowMillis);
         boolean configured = state.configuration().isPresent();
         return due && configured ? append(state, effects) : state;
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PeerFlow.java
@@ -43,7 +43,7 @@
         Digest digest = digest(state, nowMillis);
         removeLostMembers(state, nowMillis, effects);
         sendToAll(state, digest, effects);
-        return state.with(new SentWork(nowMillis, nowMillis, digest.work()));
+        return state.with(new SentWork(nowMillis, nowMillis, digest.work(), state.targets()));
     }
 
     /** Sends the load added since the last message to all peers, so that they do not all choose the same target. */
@@ -53,16 +53,18 @@
             return state;
         }
         sendToAll(state, new FleetMessage.WorkNotice(state.self().id(), work), effects);
-        return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work));
+        return state.with(new SentWork(state.sent().digestAtMillis(), nowMillis, work, state.targets()));
     }
 
     /** Returns this entry's rank by id among the entries that are alive and not leaving. */
     static long rank(FleetState state, long nowMillis) {
         long timeoutMillis = FleetTimings.peerTimeoutMillis(state.memberCount());
-        return state.peers().values().stream()
-                .filter(peer -> peer.isAlive(nowMillis, timeoutMillis) && !peer.leaving())
-                .filter(peer -> peer.member().id().compareTo(state.self().id()) < 0)
-                .count();
+        long rank = 0;
+        for (FleetPeer peer : state.peers().values()) {
+            boolean counts = peer.isAlive(nowMillis, timeoutMillis) && !peer.leaving();
+            rank += counts && peer.member().id().compareTo(state.self().id()) < 0 ? 1 : 0;
+        }
+        return rank;
     }
 
     static void sendToAll(FleetState state, FleetMessage message, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.ModelDefinition;
@@ -269,7 +268,7 @@
     static boolean fits(EngineDefinition definition, Set<String> held, String model) {
         double weights = 0;
         double largestAdapter = 0;
-        for (String name : union(held, Set.of(model))) {
+        for (String name : held) {
             ModelDefinition known = definition.models().get(name);
             if (known == null) {
                 return false;
@@ -277,11 +276,22 @@
             weights += known.weightMegabytes();
             largestAdapter = Math.max(largestAdapter, known.adapterMegabytes());
         }
+        ModelDefinition added = definition.models().get(model);
+        if (added == null) {
+            return false;
+        }
+        weights += held.contains(model) ? 0 : added.weightMegabytes();
+        largestAdapter = Math.max(largestAdapter, added.adapterMegabytes());
         return weights + largestAdapter * definition.adapterPlaces() <= definition.weightMegabytes();
     }
 
     private static Set<String> union(Set<String> one, Set<String> other) {
-        return Stream.concat(one.stream(), other.stream()).collect(Collectors.toUnmodifiableSet());
+        if (one.isEmpty() || other.isEmpty()) {
+            return one.isEmpty() ? other : one;
+        }
+        Set<String> all = new HashSet<>(one);
+        all.addAll(other);
+        return all;
     }
 
     private double drainSeconds(String model) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/model/fleet/FleetMessage.java
@@ -172,10 +172,20 @@
 
         /** Returns the sum of the requests of both at the same target. */
         public TargetWork plus(TargetWork other) {
-            Set<String> allAdapters = new HashSet<>(adapters);
-            allAdapters.addAll(other.adapters);
             return new TargetWork(
-                    target, running + other.running, unreadTokens + other.unreadTokens, Set.copyOf(allAdapters));
+                    target,
+                    running + other.running,
+                    unreadTokens + other.unreadTokens,
+                    union(adapters, other.adapters));
+        }
+
+        private static Set<String> union(Set<String> one, Set<String> other) {
+            if (one.isEmpty() || other.isEmpty()) {
+                return one.isEmpty() ? other : one;
+            }
+            Set<String> all = new HashSet<>(one);
+            all.addAll(other);
+            return Set.copyOf(all);
         }
     }
 
