Hubs confirm configuration reads by the heartbeats of the time of the read; store calls by topic and reason

Cause: in a fleet with hubs every entry read the configuration itself every 2.5 s. A hub compared the arrival of the latest heartbeat with the time when it had asked the store. A read waits for 500 ms and heartbeats come every 300 ms, so that the latest one was nearly always later and no entry was confirmed.

Ruled out: requests that are behind (hub.behind was false at all direct reads of the simulation), a failed read.

Change: a hub keeps the heartbeats of its group when it sends a configuration read, as entries of a full mesh do, and confirms those of them that came before it. A metric tells calls to the store by topic and reason.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSimulation.java
@@ -11,6 +11,7 @@
 import org.jackdawbeam.bench.harness.EventQueue;
 import org.jackdawbeam.logic.fleet.FleetEffect;
 import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.logic.store.StoreCall;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FeedEntry;
@@ -41,6 +42,7 @@
     private boolean storeDown;
     private double lostAnswerProbability;
     private long nextRequest;
+    private long storeCalls;
 
     /**
      * Creates a fleet without entries.
@@ -65,6 +67,11 @@
         return members;
     }
 
+    /** Returns the number of calls to the store so far. */
+    public long storeCalls() {
+        return storeCalls;
+    }
+
     void setStoreDown(boolean down) {
         storeDown = down;
     }
@@ -130,6 +137,7 @@
     }
 
     private void execute(SimulatedMember member, FleetEffect effect) {
+        storeCalls += StoreCall.of(effect).isPresent() ? 1 : 0;
         switch (effect) {
             case FleetEffect.ReadFeed read -> readFeed(member, read);
             case FleetEffect.Announce announce -> announce(member, announce.member());
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -135,7 +135,10 @@
 
     /** Returns the state with a snapshot of the peers, to be confirmed when the configuration read completes. */
     FleetState withConfigurationReadStarted() {
-        return changed(builder -> builder.peersAtConfigurationRead = peers);
+        return changed(builder -> {
+            builder.peersAtConfigurationRead = peers;
+            builder.hub = hub.withConfigurationReadStarted();
+        });
     }
 
     FleetState withRequests(PMap<Long, FleetRequest> changed) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FreshnessFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FreshnessFlow.java
@@ -1,6 +1,8 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetMember;
 import org.jackdawbeam.model.fleet.FleetMessage;
@@ -45,11 +47,14 @@
 
     /** Sends the same confirmation to the entries that report to this hub. */
     static void confirmGroup(FleetState state, FleetEvent.FeedRead read, List<FleetEffect> effects) {
-        for (HubState.Received<Digest> member : state.hub().group().values()) {
-            if (member.atMillis() <= read.askedAtMillis()) {
-                Digest heartbeat = member.message();
-                confirm(state, heartbeat.member(), heartbeat.stampMillis(), read, effects);
-            }
+        HubState hub = state.hub();
+        for (Map.Entry<String, HubState.Received<Digest>> member : hub.group().entrySet()) {
+            // A read waits for longer than a heartbeat interval, so that the latest heartbeat has mostly come after it.
+            Stream.of(member.getValue(), hub.groupAtConfigurationRead().get(member.getKey()))
+                    .filter(heartbeat -> heartbeat != null && heartbeat.atMillis() <= read.askedAtMillis())
+                    .map(HubState.Received::message)
+                    .findFirst()
+                    .ifPresent(heartbeat -> confirm(state, heartbeat.member(), heartbeat.stampMillis(), read, effects));
         }
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
@@ -27,6 +27,7 @@
  * @param fleetDemand demand of all entries, if this entry is the placement leader
  * @param behind whether another entry has confirmed a later configuration offset than this entry has read
  * @param published what this entry has published to its group, if it is a hub
+ * @param groupAtConfigurationRead the heartbeats of the group when the latest configuration read was sent
  */
 public record HubState(
         Optional<String> id,
@@ -38,7 +39,8 @@
         Map<String, TargetWork> fleetWork,
         List<ModelDemand> fleetDemand,
         boolean behind,
-        Published published) {
+        Published published,
+        PMap<String, Received<Digest>> groupAtConfigurationRead) {
 
     /**
      * What a hub has published to the entries that report to it.
@@ -90,7 +92,8 @@
                 Map.of(),
                 List.of(),
                 false,
-                Published.none());
+                Published.none(),
+                HashTreePMap.empty());
     }
 
     HubState withHub(String hub, long nowMillis) {
@@ -104,7 +107,8 @@
                 fleetWork,
                 fleetDemand,
                 behind,
-                published);
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState withExcludedHub(String hub, long untilMillis) {
@@ -118,12 +122,23 @@
                 fleetWork,
                 fleetDemand,
                 behind,
-                published);
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState withHeardAt(long nowMillis) {
         return new HubState(
-                id, sinceMillis, nowMillis, excludedUntil, group, groups, fleetWork, fleetDemand, behind, published);
+                id,
+                sinceMillis,
+                nowMillis,
+                excludedUntil,
+                group,
+                groups,
+                fleetWork,
+                fleetDemand,
+                behind,
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState with(Digest digest, long nowMillis) {
@@ -137,7 +152,8 @@
                 fleetWork,
                 fleetDemand,
                 behind,
-                published);
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState with(GroupDigest digest, long nowMillis) {
@@ -151,12 +167,23 @@
                 fleetWork,
                 fleetDemand,
                 behind,
-                published);
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState withFleetLoad(Map<String, TargetWork> work, List<ModelDemand> demand) {
         return new HubState(
-                id, sinceMillis, heardAtMillis, excludedUntil, group, groups, work, demand, behind, published);
+                id,
+                sinceMillis,
+                heardAtMillis,
+                excludedUntil,
+                group,
+                groups,
+                work,
+                demand,
+                behind,
+                published,
+                groupAtConfigurationRead);
     }
 
     HubState withFleetWork(Map<String, TargetWork> work) {
@@ -184,7 +211,8 @@
                         fleetWork,
                         fleetDemand,
                         behind,
-                        published);
+                        published,
+                        groupAtConfigurationRead);
     }
 
     /** Returns the state after another hub has told the load of its group without a heartbeat. */
@@ -208,17 +236,54 @@
                         fleetWork,
                         fleetDemand,
                         behind,
-                        published);
+                        published,
+                        groupAtConfigurationRead);
     }
 
     HubState withBehind(boolean value) {
         return new HubState(
-                id, sinceMillis, heardAtMillis, excludedUntil, group, groups, fleetWork, fleetDemand, value, published);
+                id,
+                sinceMillis,
+                heardAtMillis,
+                excludedUntil,
+                group,
+                groups,
+                fleetWork,
+                fleetDemand,
+                value,
+                published,
+                groupAtConfigurationRead);
+    }
+
+    /** Returns the state with a snapshot of the group's heartbeats, to be confirmed when the read completes. */
+    HubState withConfigurationReadStarted() {
+        return new HubState(
+                id,
+                sinceMillis,
+                heardAtMillis,
+                excludedUntil,
+                group,
+                groups,
+                fleetWork,
+                fleetDemand,
+                behind,
+                published,
+                group);
     }
 
     HubState withPublished(Published changed) {
         return new HubState(
-                id, sinceMillis, heardAtMillis, excludedUntil, group, groups, fleetWork, fleetDemand, behind, changed);
+                id,
+                sinceMillis,
+                heardAtMillis,
+                excludedUntil,
+                group,
+                groups,
+                fleetWork,
+                fleetDemand,
+                behind,
+                changed,
+                groupAtConfigurationRead);
     }
 
     /** Returns the state without entries and hubs whose latest message arrived before the given time. */
@@ -242,6 +307,7 @@
                 fleetWork,
                 fleetDemand,
                 behind,
-                published);
+                published,
+                groupAtConfigurationRead);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -8,10 +8,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import org.jackdawbeam.logic.fleet.FleetEffect;
 import org.jackdawbeam.logic.fleet.FleetEvent;
 import org.jackdawbeam.logic.fleet.FleetState;
+import org.jackdawbeam.logic.store.StoreCall;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
 import org.jackdawbeam.model.request.AttemptId;
@@ -30,6 +32,7 @@
     private final Counter refusals;
     private final Counter attempts;
     private final Counter storeReads;
+    private final Counter storeCalls;
     private final Counter orders;
     private final Counter brokenAnswers;
     private final Histogram answerSeconds;
@@ -54,6 +57,7 @@
         this.refusals = counter("jackdawbeam_refusals_total", "Requests answered negatively.", "code");
         this.attempts = counter("jackdawbeam_attempts_total", "Attempts at targets by result.", "result");
         this.storeReads = counter("jackdawbeam_store_reads_total", "Reads of the store.", "feed", "result");
+        this.storeCalls = counter("jackdawbeam_store_calls_total", "Calls to the store.", "topic", "reason");
         this.orders = counter("jackdawbeam_orders_total", "Orders to engines by response.", "action", "response");
         this.brokenAnswers = counter("jackdawbeam_broken_answers_total", "Answers that ended before they were whole.");
         this.answerSeconds = histogram(
@@ -138,6 +142,10 @@
 
     @Override
     public void onEffect(FleetState state, FleetEvent cause, FleetEffect effect) {
+        StoreCall.of(effect)
+                .ifPresent(call -> storeCalls
+                        .labelValues(call.topic(), call.reason().name().toLowerCase(Locale.ROOT))
+                        .inc());
         switch (effect) {
             case FleetEffect.StartAttempt start -> startedAt.put(start.attempt(), cause.nowMillis());
             case FleetEffect.CancelAttempt cancel -> startedAt.remove(cancel.attempt());
