--- a/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/StoreCallsTest.java
+++ b/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/StoreCallsTest.java
@@ -47,7 +47,8 @@
                             () -> fleet.store()
                                     .write(
                                             Feed.TARGETS,
-                                            new FeedEntry.Target(FleetSearchSite.engine(id, Set.of("m1"))))));
+                                            new FeedEntry.Target(
+                                                    FleetSearchSite.engine(id, FleetSearchSite.ZONE, Set.of("m1"))))));
         }
         queue.runUntil(START_MILLIS);
     }
