Account of what requests cost at models and engines; patient kinds yield

Cause: one prefill pace is learnt for each service, so that models elevenfold apart and engines of 0.7 to 1.7 times the speed are estimated alike; the slowness that targets state and the caller's hint of an answer's length are dropped; requests with 15 s to their objective compete with those that have 1 s, and late urgent requests queue behind late ones that are less urgent.

Change: logic.cost learns how far models and engines deviate from their service beyond two standard errors, bounded and forgetting; the fourth figure of the load counts while it is fresh; an engine at which the answer is expected to end past the deadline is ranked behind others. Kinds whose objective is four times that of a more urgent one are sent behind others while they have time; late requests keep their order by priority (7 to 9; 9 as before where there is one priority). attempt_ended states the estimate, and jackdawbeam_estimate_error_seconds by how much it was off.

Ruled out: counting only queued prompts of the request's own priority and above.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/Admission.java
@@ -8,6 +8,7 @@
 final class Admission {
     private static final long MIN_ACCEPTABLE_WAIT_MILLIS = 2_000; // interactive callers wait at least this long
     private static final long ACCEPTABLE_WAIT_OBJECTIVES = 3; // an answer stays useful for a few objectives
+    private static final double PATIENCE_SHARE = 0.3; // estimates behind all others may be off threefold
     private static final double LONG_PROMPT_DISCOUNT = 0.5; // users want long prompts served at least half as often
     private static final long MIN_RETRY_MILLIS = 400; // roughly the load of a model from host memory
     private static final long MAX_RETRY_MILLIS = 1_500; // engine queues drain sooner than that
@@ -17,6 +18,9 @@
         /** The request can meet its objective. */
         record InTime() implements Verdict {}
 
+        /** The request can meet its objective behind all others, whose objectives are shorter. */
+        record Patient() implements Verdict {}
+
         /** The request will miss its objective and is queued behind those that can meet theirs. */
         record Late() implements Verdict {}
 
@@ -34,6 +38,16 @@
      * @param typicalMillis prefill time of a typical prompt of the route
      */
     static Verdict judge(FleetRequest request, TargetChooser.Choice choice, long typicalMillis, long nowMillis) {
+        return judge(request, choice, typicalMillis, false, nowMillis);
+    }
+
+    /** Judges a request which may yield to more urgent ones while most of its objective is left. */
+    static Verdict judge(
+            FleetRequest request, TargetChooser.Choice choice, long typicalMillis, boolean mayYield, long nowMillis) {
+        long patienceMillis = Math.round(request.route().objectiveMillis() * PATIENCE_SHARE);
+        if (mayYield && nowMillis - request.arrivedAtMillis() + choice.lateEstimateMillis() <= patienceMillis) {
+            return new Verdict.Patient();
+        }
         long waitedMillis = nowMillis - request.arrivedAtMillis();
         long objectiveMillis = request.route().objectiveMillis();
         long discountMillis = Math.round((choice.ownPrefillMillis() - typicalMillis) * LONG_PROMPT_DISCOUNT);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -42,8 +42,9 @@
         FleetRequest request = found.get().withArrival();
         String id = ((RequestPhase.Running) request.phase()).target();
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
-        FleetState loaded =
-                withTarget(notified, id, target -> target.withStatement(event.statement(), event.nowMillis()));
+        FleetState loaded = withTarget(
+                        notified, id, target -> target.withStatement(event.statement(), event.nowMillis()))
+                .with(CostFlow.learnStatement(state.costs(), id, event.statement(), event.nowMillis()));
         FleetState limited = limits.onTargetAnswer(
                 loaded,
                 id,
@@ -105,7 +106,7 @@
                 event.nowMillis(),
                 effects);
         return findOutstanding(begun, running)
-                .map(attempt -> recordPrefillTime(begun, found.get().service(), running, attempt, event.nowMillis()))
+                .map(attempt -> recordPrefillTime(begun, found.get(), running, attempt, event.nowMillis()))
                 .orElse(begun);
     }
 
@@ -124,12 +125,12 @@
 
     private static FleetState recordPrefillTime(
             FleetState state,
-            String service,
+            FleetRequest request,
             RequestPhase.Running running,
             OutstandingAttempt attempt,
             long nowMillis) {
         FleetTarget target = state.targets().get(running.target());
-        FleetState begun = state.with(target.withAnswerBegun(running.attempt()));
+        FleetState begun = state.with(target.withFirstByte(running.attempt(), nowMillis));
         if (attempt.late()) {
             // Requests at normal priority went before it, so its time does not show the engine's speed.
             return begun;
@@ -137,10 +138,10 @@
         double decodingMillis =
                 TargetChooser.decodingMillis(target.outstanding().size());
         double prefillMillis = nowMillis - attempt.sentAtMillis() - decodingMillis;
-        return begun.with(
-                service,
-                state.prefillStatistics(service)
-                        .withPrefill(attempt.prefillTokens() + attempt.queuedAheadTokens(), prefillMillis));
+        PrefillStatistics statistics = state.prefillStatistics(request.service());
+        long tokens = attempt.prefillTokens() + attempt.queuedAheadTokens();
+        return begun.with(request.service(), statistics.withPrefill(tokens, prefillMillis))
+                .with(CostFlow.learnFirstByte(state, request, target, attempt, nowMillis));
     }
 
     FleetState onCompleted(FleetState state, FleetEvent.AttemptCompleted event) {
@@ -154,6 +155,12 @@
                 .map(attempt ->
                         state.prefillStatistics(service).withCompletedRun(event.nowMillis() - attempt.sentAtMillis()))
                 .map(statistics -> state.with(service, statistics))
+                .map(next -> next.with(CostFlow.learnEnd(
+                        state,
+                        found.get(),
+                        running.target(),
+                        findOutstanding(state, running).orElseThrow(),
+                        event)))
                 .orElse(state);
         return DispatchFlow.releaseAttempt(learnt, running).without(found.get());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.jackdawbeam.logic.cost.CostAccount;
+import org.jackdawbeam.logic.cost.UrgencyMix;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.jackdawbeam.model.refusal.Refusal;
@@ -17,7 +19,6 @@
 
     private static final long MIN_REMAINING_MILLIS = 150; // less is too short for the prefill of a prompt
     private static final long LIMITED_RETRY_MILLIS = 500; // plus up to as much again, by request
-    private static final int LOWEST_PRIORITY = 9; // the lowest priority that engines support
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
 
@@ -112,8 +113,12 @@
             long nowMillis,
             List<FleetEffect> effects) {
         long typicalMillis = typicalPrefillMillis(state, request, choice);
-        return switch (Admission.judge(request, choice, typicalMillis, nowMillis)) {
+        boolean mayYield = state.costs()
+                .mix(request.service())
+                .isPatient(request.enginePriority(), request.route().objectiveMillis());
+        return switch (Admission.judge(request, choice, typicalMillis, mayYield, nowMillis)) {
             case Admission.Verdict.InTime inTime -> send(state, request, choice, false, nowMillis, effects);
+            case Admission.Verdict.Patient patient -> send(state, request, choice, true, nowMillis, effects);
             case Admission.Verdict.Late late -> send(state, request, choice, true, nowMillis, effects);
             case Admission.Verdict.TooLate tooLate -> {
                 Refusal refusal = refusal(request, RefusalCode.QUEUE_FULL, tooLate.retryAfterMillis());
@@ -257,7 +262,21 @@
         FleetTarget target = choice.target();
         String id = target.description().id();
         OutstandingAttempt outstandingAttempt = new OutstandingAttempt(
-                nowMillis, choice.prefillTokens(), choice.queuedAheadTokens(), choice.estimateMillis(), late, false);
+                nowMillis,
+                choice.prefillTokens(),
+                choice.queuedAheadTokens(),
+                choice.estimateMillis(),
+                late,
+                false,
+                choice.running(),
+                request.call().expectedOutputTokens(),
+                OptionalLong.empty());
+        int priority = request.enginePriority();
+        CostAccount costs = request.call().model().isEmpty()
+                ? state.costs()
+                : state.costs()
+                        .withSent(request.service(), priority, request.route().objectiveMillis());
+        UrgencyMix mix = costs.mix(request.service());
         FleetTarget updated = target.withLimit(target.limit().map(RequestLimit::spent))
                 .withAttempt(attempt, outstandingAttempt)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixHashes(request), nowMillis));
@@ -268,7 +287,7 @@
                 request.expiresAtMillis(),
                 sendUntilMillis(state, request, target),
                 request.workspace(),
-                late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
+                late ? mix.yieldingPriority(priority) : priority,
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
                 choice.estimateMillis(),
                 choice.prefillTokens(),
@@ -277,6 +296,7 @@
         PrefillStatistics statistics = state.prefillStatistics(request.service())
                 .withSentPrompt(request.call().inputTokens(), choice.prefillTokens());
         return state.with(updated)
+                .with(costs)
                 .withSentPrefill(request.route().name(), choice.prefillTokens())
                 .with(request.service(), statistics)
                 .with(request.withAttempt(new RequestPhase.Running(attempt, id, false, false)));
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.jackdawbeam.logic.cost.UrgencyMix;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.Route;
 import org.pcollections.PSet;
@@ -84,6 +85,11 @@
         return executions == 0;
     }
 
+    /** Returns the priority as far as engines distinguish it. */
+    int enginePriority() {
+        return Math.clamp(priority, 0, UrgencyMix.LOWEST_PRIORITY);
+    }
+
     private FleetRequest changed(Consumer<Builder> change) {
         Builder builder = new Builder(this);
         change.accept(builder);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.jackdawbeam.logic.cost.CostAccount;
 import org.jackdawbeam.logic.placement.Demand;
 import org.jackdawbeam.logic.quarantine.Quarantine;
 import org.jackdawbeam.model.fleet.Feed;
@@ -31,6 +32,7 @@
  * @param modelWaits models that callers of this entry ask for and no engine holds
  * @param prefillStatistics prefill speed of engines, by service
  * @param typicalPrefillTokens mean number of prompt tokens that an engine had to process for a request, by route
+ * @param costs what requests cost at models and engines
  * @param sent the load information last sent to the peers
  * @param hub state of the hub topology, used in a fleet that is too large for a full mesh
  * @param quarantine prompt parts that may crash engines
@@ -58,6 +60,7 @@
         ModelWaits modelWaits,
         PMap<String, PrefillStatistics> prefillStatistics,
         PMap<String, Double> typicalPrefillTokens,
+        CostAccount costs,
         Announcement announcement,
         StopStage stop,
         SentWork sent,
@@ -96,6 +99,7 @@
                 ModelWaits.none(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                CostAccount.unknown(),
                 Announcement.PENDING,
                 new StopStage.Serving(),
                 SentWork.none(),
@@ -198,6 +202,10 @@
         return prefillStatistics.getOrDefault(service, PrefillStatistics.unknown());
     }
 
+    FleetState with(CostAccount changed) {
+        return changed(builder -> builder.costs = changed);
+    }
+
     FleetState with(Announcement changed) {
         return changed(builder -> builder.announcement = changed);
     }
@@ -280,6 +288,7 @@
         private ModelWaits modelWaits;
         private PMap<String, PrefillStatistics> prefillStatistics;
         private PMap<String, Double> typicalPrefillTokens;
+        private CostAccount costs;
         private Announcement announcement;
         private StopStage stop;
         private SentWork sent;
@@ -309,6 +318,7 @@
             modelWaits = source.modelWaits;
             prefillStatistics = source.prefillStatistics;
             typicalPrefillTokens = source.typicalPrefillTokens;
+            costs = source.costs;
             announcement = source.announcement;
             stop = source.stop;
             sent = source.sent;
@@ -340,6 +350,7 @@
                     modelWaits,
                     prefillStatistics,
                     typicalPrefillTokens,
+                    costs,
                     announcement,
                     stop,
                     sent,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTarget.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.jackdawbeam.logic.target.PrefixIndex;
 import org.jackdawbeam.model.fleet.TargetDescription;
 import org.jackdawbeam.model.fleet.TargetLoad;
@@ -149,10 +150,16 @@
     }
 
     FleetTarget withAnswerBegun(AttemptId attempt) {
-        OutstandingAttempt outstandingAttempt = outstanding.get(attempt);
-        return outstandingAttempt == null
-                ? this
-                : withOutstanding(outstanding.plus(attempt, outstandingAttempt.withAnswerBegun()));
+        return withChanged(attempt, OutstandingAttempt::withAnswerBegun);
+    }
+
+    FleetTarget withFirstByte(AttemptId attempt, long nowMillis) {
+        return withChanged(attempt, outstandingAttempt -> outstandingAttempt.withFirstByte(nowMillis));
+    }
+
+    private FleetTarget withChanged(AttemptId attempt, UnaryOperator<OutstandingAttempt> change) {
+        OutstandingAttempt known = outstanding.get(attempt);
+        return known == null ? this : withOutstanding(outstanding.plus(attempt, change.apply(known)));
     }
 
     FleetTarget withoutAttempt(AttemptId attempt) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.jackdawbeam.logic.cost.Place;
 import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.FleetMessage.TargetWork;
 import org.jackdawbeam.model.fleet.PromptPart;
@@ -34,6 +35,8 @@
      * @param estimateMillis expected time to the first byte
      * @param lateEstimateMillis the same at the lowest priority, behind other requests
      * @param penaltyMillis added to the estimate when targets are compared
+     * @param running requests that run at the target
+     * @param outputMillis expected time from the first to the last byte of the answer; 0 if unknown
      */
     record Choice(
             FleetTarget target,
@@ -42,7 +45,9 @@
             long ownPrefillMillis,
             long estimateMillis,
             long lateEstimateMillis,
-            long penaltyMillis) {
+            long penaltyMillis,
+            int running,
+            long outputMillis) {
         private long rank() {
             return estimateMillis + penaltyMillis;
         }
@@ -79,10 +84,14 @@
         }
         long prefillTokens = engine ? uncachedTokens(request, target) : 0;
         long queuedAheadTokens = engine ? target.pendingPrefillTokens() + peersPrefillTokens : 0;
-        double estimate = engine
-                ? state.prefillStatistics(request.service()).prefillMillis(prefillTokens + queuedAheadTokens)
-                        + decodingMillis(running)
-                : serviceMillis(target, running);
+        Place place = new Place(request.service(), request.call().model().orElse(""), id);
+        double pace =
+                engine ? state.costs().factor(place, nowMillis) : state.costs().slowness(id, nowMillis);
+        double estimate = pace
+                * (engine
+                        ? state.prefillStatistics(request.service()).prefillMillis(prefillTokens + queuedAheadTokens)
+                                + decodingMillis(running)
+                        : serviceMillis(target, running));
         estimate += target.description().zone().equals(state.self().zone()) ? 0 : OTHER_ZONE_MILLIS;
         estimate += overdueMillis(target, nowMillis);
         boolean avoided = target.health().avoidedUntilMillis() > nowMillis;
@@ -93,7 +102,12 @@
         // The other entries send late requests too, but do not report them.
         double latePrefillTokens = engine ? target.latePendingPrefillTokens() * (double) state.memberCount() : 0;
         double lateEstimate =
-                estimate + state.prefillStatistics(request.service()).prefillMillis(latePrefillTokens);
+                estimate + pace * state.prefillStatistics(request.service()).prefillMillis(latePrefillTokens);
+        long outputTokens = engine ? request.call().expectedOutputTokens() : 0;
+        double outputMillis =
+                outputTokens * decodingMillis(running) * pace * state.costs().outputShare(request.service(), nowMillis);
+        double overrun = nowMillis + estimate + outputMillis - request.expiresAtMillis();
+        penalty += Math.clamp(overrun, 0, AVOIDED_MILLIS);
         double ownMillis = state.prefillStatistics(request.service()).prefillMillis(prefillTokens);
         return new Choice(
                 target,
@@ -102,7 +116,9 @@
                 Math.round(ownMillis),
                 Math.round(estimate),
                 Math.round(lateEstimate),
-                Math.round(penalty));
+                Math.round(penalty),
+                running,
+                Math.round(outputMillis));
     }
 
     /** Returns the delay of a request's first token by the decoding of the requests that run beside it. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptTrace.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/AttemptTrace.java
@@ -80,7 +80,7 @@
     void logEnd(String outcome) {
         Logger.info(
                 "event=attempt_ended request={} request_number={} attempt={} target={} started_at={} connection={}"
-                        + " place={} status={} signature={} framing={} body_bytes={} first_body_ms={}"
+                        + " place={} status={} signature={} framing={} body_bytes={} estimate_ms={} first_body_ms={}"
                         + " longest_pause_ms={} outcome={}",
                 start.callerRequestId(),
                 start.attempt().requestId(),
@@ -93,6 +93,7 @@
                 signature,
                 framing,
                 bodyBytes,
+                start.estimateMillis(),
                 firstBodyMillis.orElse(-1),
                 longestPauseMillis,
                 outcome);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetMetrics.java
@@ -34,6 +34,7 @@
     private final Counter brokenAnswers;
     private final Histogram answerSeconds;
     private final Histogram firstBodySeconds;
+    private final Histogram estimateErrorSeconds;
     private final Histogram longestPauseSeconds;
     private final Gauge openRequests;
     private final Gauge configurationVersion;
@@ -46,7 +47,7 @@
     private final Gauge waitingModels;
     private final Gauge longestModelWait;
     private final Gauge droppedLogLines;
-    private final Map<AttemptId, Long> startedAt = new HashMap<>();
+    private final Map<AttemptId, Started> startedAt = new HashMap<>();
 
     public FleetMetrics(PrometheusRegistry registry) {
         this.registry = registry;
@@ -61,6 +62,9 @@
         this.firstBodySeconds = histogram(
                 "jackdawbeam_first_body_seconds",
                 "Time from sending a request to a target until the first bytes of the answer's body.");
+        this.estimateErrorSeconds = histogram(
+                "jackdawbeam_estimate_error_seconds",
+                "Difference between the expected and the observed time to the first bytes of the answer's body.");
         this.longestPauseSeconds = histogram(
                 "jackdawbeam_longest_pause_seconds", "Longest time between two parts of the body of a whole answer.");
         this.openRequests = gauge("jackdawbeam_open_requests", "Requests that have not ended.");
@@ -139,7 +143,8 @@
     @Override
     public void onEffect(FleetState state, FleetEvent cause, FleetEffect effect) {
         switch (effect) {
-            case FleetEffect.StartAttempt start -> startedAt.put(start.attempt(), cause.nowMillis());
+            case FleetEffect.StartAttempt start ->
+                startedAt.put(start.attempt(), new Started(cause.nowMillis(), start.estimateMillis()));
             case FleetEffect.CancelAttempt cancel -> startedAt.remove(cancel.attempt());
             case FleetEffect.RefuseRequest refuse ->
                 refusals.labelValues(refuse.refusal().code().name()).inc();
@@ -156,20 +161,24 @@
     }
 
     private void onAnswered(FleetEvent.AttemptAnswered answered) {
-        Long started = startedAt.get(answered.attempt());
+        Started started = startedAt.get(answered.attempt());
         if (started != null) {
-            answerSeconds.observe((answered.nowMillis() - started) / MILLIS_PER_SECOND);
+            answerSeconds.observe((answered.nowMillis() - started.atMillis()) / MILLIS_PER_SECOND);
         }
         attempts.labelValues("STATUS_" + answered.status()).inc();
     }
 
     private void onStreaming(FleetEvent.AttemptStreaming streaming) {
-        Long started = startedAt.remove(streaming.attempt());
+        Started started = startedAt.remove(streaming.attempt());
         if (started != null) {
-            firstBodySeconds.observe((streaming.nowMillis() - started) / MILLIS_PER_SECOND);
+            long millis = streaming.nowMillis() - started.atMillis();
+            firstBodySeconds.observe(millis / MILLIS_PER_SECOND);
+            estimateErrorSeconds.observe(Math.abs(millis - started.estimateMillis()) / MILLIS_PER_SECOND);
         }
     }
 
+    private record Started(long atMillis, long estimateMillis) {}
+
     private Histogram histogram(String name, String help) {
         return Histogram.builder()
                 .name(name)
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
@@ -30,7 +30,7 @@
     private Admission.Verdict judge(
             FleetRequest request, long ownMillis, long estimateMillis, long lateMillis, long waitedMillis) {
         TargetChooser.Choice choice = new TargetChooser.Choice(
-                fixture.state.targets().get("e1"), 100, 0, ownMillis, estimateMillis, lateMillis, 0);
+                fixture.state.targets().get("e1"), 100, 0, ownMillis, estimateMillis, lateMillis, 0, 0, 0);
         return Admission.judge(request, choice, TYPICAL_MILLIS, request.arrivedAtMillis() + waitedMillis);
     }
 
@@ -79,4 +79,18 @@
         assertThat(judge(request, TYPICAL_MILLIS + 800, 1_000, 1_000, waitedMillis))
                 .isInstanceOf(Admission.Verdict.TooLate.class);
     }
+
+    @Test
+    void requestThatCanWaitYieldsWhileMostOfItsObjectiveIsLeft() {
+        FleetRequest request = request();
+
+        assertThat(judgeYielding(request, 150)).isInstanceOf(Admission.Verdict.Patient.class);
+        assertThat(judgeYielding(request, OBJECTIVE_MILLIS / 2)).isInstanceOf(Admission.Verdict.InTime.class);
+    }
+
+    private Admission.Verdict judgeYielding(FleetRequest request, long lateMillis) {
+        TargetChooser.Choice choice = new TargetChooser.Choice(
+                fixture.state.targets().get("e1"), 100, 0, TYPICAL_MILLIS, 100, lateMillis, 0, 0, 0);
+        return Admission.judge(request, choice, TYPICAL_MILLIS, true, request.arrivedAtMillis());
+    }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetMetricsTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/FleetMetricsTest.java
@@ -59,6 +59,7 @@
                 .contains(
                         "jackdawbeam_answer_seconds_sum 0.01",
                         "jackdawbeam_first_body_seconds_sum 0.25",
+                        "jackdawbeam_estimate_error_seconds_sum 0.24",
                         "jackdawbeam_longest_pause_seconds_sum 0.7");
     }
 
