--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -43,10 +43,11 @@
         String id = ((RequestPhase.Running) request.phase()).target();
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
         FleetState loaded = withTarget(
-                notified,
-                id,
-                target -> WarmUpFlow.onAnswer(state, target, event.nowMillis())
-                        .withStatement(event.statement(), event.nowMillis()));
+                        notified,
+                        id,
+                        target -> WarmUpFlow.onAnswer(state, target, event.nowMillis())
+                                .withStatement(event.statement(), event.nowMillis()))
+                .with(CostFlow.learnStatement(state.costs(), id, event.statement(), event.nowMillis()));
         FleetState limited = limits.onTargetAnswer(
                 loaded,
                 id,
@@ -108,7 +109,7 @@
                 event.nowMillis(),
                 effects);
         return findOutstanding(begun, running)
-                .map(attempt -> recordPrefillTime(begun, found.get().service(), running, attempt, event.nowMillis()))
+                .map(attempt -> recordPrefillTime(begun, found.get(), running, attempt, event.nowMillis()))
                 .orElse(begun);
     }
 
@@ -127,12 +128,12 @@
 
     private static FleetState recordPrefillTime(
             FleetState state,
-            String service,
+            FleetRequest request,
             RequestPhase.Running running,
             OutstandingAttempt attempt,
             long nowMillis) {
         FleetTarget target = state.targets().get(running.target());
-        FleetState begun = state.with(target.withAnswerBegun(running.attempt()));
+        FleetState begun = state.with(target.withFirstByte(running.attempt(), nowMillis));
         if (attempt.late()) {
             // Requests at normal priority went before it, so its time does not show the engine's speed.
             return begun;
@@ -140,10 +141,10 @@
         double decodingMillis =
                 TargetChooser.decodingMillis(target.outstanding().size());
         double prefillMillis = nowMillis - attempt.sentAtMillis() - decodingMillis;
-        return begun.with(
-                service,
-                state.prefillStatistics(service)
-                        .withPrefill(attempt.prefillTokens() + attempt.queuedAheadTokens(), prefillMillis));
+        PrefillStatistics statistics = state.prefillStatistics(request.service());
+        long tokens = attempt.prefillTokens() + attempt.queuedAheadTokens();
+        return begun.with(request.service(), statistics.withPrefill(tokens, prefillMillis))
+                .with(CostFlow.learnFirstByte(state, request, target, attempt, nowMillis));
     }
 
     FleetState onCompleted(FleetState state, FleetEvent.AttemptCompleted event) {
@@ -157,6 +158,12 @@
                 .map(attempt ->
                         state.prefillStatistics(service).withCompletedRun(event.nowMillis() - attempt.sentAtMillis()))
                 .map(statistics -> state.with(service, statistics))
+                .map(next -> next.with(CostFlow.learnEnd(
+                        state,
+                        found.get(),
+                        running.target(),
+                        findOutstanding(state, running).orElseThrow(),
+                        event)))
                 .orElse(state);
         return DispatchFlow.releaseAttempt(learnt, running).without(found.get());
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/DispatchFlow.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.LongStream;
+import org.jackdawbeam.logic.cost.CostAccount;
+import org.jackdawbeam.logic.cost.UrgencyMix;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.jackdawbeam.model.refusal.Refusal;
@@ -18,7 +20,6 @@
 
     private static final long MIN_REMAINING_MILLIS = 150; // less is too short for the prefill of a prompt
     private static final long LIMITED_RETRY_MILLIS = 500; // plus up to as much again, by request
-    private static final int LOWEST_PRIORITY = 9; // the lowest priority that engines support
 
     private static final String KEY_WITHDRAWN = "key withdrawn while the request waited";
 
@@ -258,7 +259,19 @@
         FleetTarget target = choice.target();
         String id = target.description().id();
         OutstandingAttempt outstandingAttempt = new OutstandingAttempt(
-                nowMillis, choice.prefillTokens(), choice.queuedAheadTokens(), choice.estimateMillis(), late, false);
+                nowMillis,
+                choice.prefillTokens(),
+                choice.queuedAheadTokens(),
+                choice.estimateMillis(),
+                late,
+                false,
+                choice.running(),
+                request.call().expectedOutputTokens(),
+                OptionalLong.empty());
+        int priority = request.enginePriority();
+        CostAccount costs =
+                request.call().model().isEmpty() ? state.costs() : state.costs().withSent(request.service(), priority);
+        UrgencyMix mix = costs.mix(request.service());
         FleetTarget updated = TargetLimitGate.spend(target)
                 .withAttempt(attempt, outstandingAttempt)
                 .withPrefixes(target.prefixes().withSeen(TargetChooser.prefixHashes(request), nowMillis));
@@ -269,7 +282,7 @@
                 request.expiresAtMillis(),
                 sendUntilMillis(state, request, target, nowMillis),
                 request.workspace(),
-                late ? LOWEST_PRIORITY : Math.min(LOWEST_PRIORITY, request.priority()),
+                late ? mix.latePriority(priority) : priority,
                 request.route().kind() == RouteKind.STREAMING && request.route().resumable(),
                 choice.estimateMillis(),
                 choice.prefillTokens(),
@@ -278,6 +291,7 @@
         PrefillStatistics statistics = state.prefillStatistics(request.service())
                 .withSentPrompt(request.call().inputTokens(), choice.prefillTokens());
         return state.with(updated)
+                .with(costs)
                 .withSentPrefill(request.route().name(), choice.prefillTokens())
                 .with(request.service(), statistics)
                 .with(request.withAttempt(new RequestPhase.Running(attempt, id, false, false)));
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/AdmissionTest.java
@@ -30,7 +30,7 @@
     private Admission.Verdict judge(
             FleetRequest request, long ownMillis, long estimateMillis, long lateMillis, long waitedMillis) {
         TargetChooser.Choice choice = new TargetChooser.Choice(
-                fixture.state.targets().get("e1"), 100, 0, ownMillis, estimateMillis, lateMillis, 0);
+                fixture.state.targets().get("e1"), 100, 0, ownMillis, estimateMillis, lateMillis, 0, 0, 0);
         return Admission.judge(request, choice, TYPICAL_MILLIS, request.arrivedAtMillis() + waitedMillis);
     }
 
