A command explains where a request would go now, and why, without sending it

Operators could see in the log what had been decided about a request, not what would be decided about one now, and not which other targets were looked at.

Ruled out: a second implementation of the choice for the report; asking the quota's owner, which would spend units.

--- a/jackdawbeam-daemon/src/main/java/org/jackdawbeam/cli/Main.java
+++ b/jackdawbeam-daemon/src/main/java/org/jackdawbeam/cli/Main.java
@@ -15,7 +15,8 @@
             BundleCommand.class,
             KeyCommand.class,
             MemberCommand.class,
-            StatusCommand.class
+            StatusCommand.class,
+            ExplainCommand.class
         },
         footer = {
             "",
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -73,37 +73,43 @@
         if (modelUnknown) {
             return refuse(state, event, Refusal.notRun(RefusalCode.MODEL_UNKNOWN), "model not configured", effects);
         }
-        FleetRequest request = new FleetRequest(
-                event.requestId(),
+        FleetRequest request = newRequest(event.requestId(), call, route, workspace, event.nowMillis());
+        QuarantineGate.Result gate = QuarantineGate.check(state, call, request.id(), true, event.nowMillis(), effects);
+        if (gate.blocked().isPresent()) {
+            QuarantineGate.Blocked blocked = gate.blocked().get();
+            Refusal refusal = Refusal.notRun(blocked.code(), blocked.retryAfterMillis());
+            return refuse(state, event, refusal, blocked.reason(), effects);
+        }
+        FleetState credited = AttemptFlow.creditRetries(gate.state(), service, event.nowMillis());
+        FleetState counted = dispatch.countDemand(credited, request, event.nowMillis());
+        if (workspace.isEmpty() || !workspace.get().limited()) {
+            return dispatch.dispatch(counted.with(request), request, event.nowMillis(), effects);
+        }
+        return requestUnits(counted, request, workspace.get(), 0, event.nowMillis(), effects);
+    }
+
+    /** Returns a request that has just arrived. */
+    static FleetRequest newRequest(
+            long id, CallerRequest call, Route route, Optional<Workspace> workspace, long nowMillis) {
+        return new FleetRequest(
+                id,
                 call,
                 route,
-                service,
+                pickService(route, call.callerRequestId()),
                 workspace.map(Workspace::name),
                 workspace.map(owner -> units(owner, call)).orElse(0.0),
                 workspace
                         .map(owner -> owner.priority().orElse(route.priority()))
                         .orElse(route.priority()),
-                event.nowMillis(),
-                event.nowMillis() + Math.min(call.deadlineMillis(), route.timeoutMillis()),
+                nowMillis,
+                nowMillis + Math.min(call.deadlineMillis(), route.timeoutMillis()),
                 0,
                 false,
                 0,
                 HashTreePSet.empty(),
                 false,
                 false,
-                new RequestPhase.AwaitingQuota(0, event.nowMillis()));
-        QuarantineGate.Result gate = QuarantineGate.check(state, call, request.id(), true, event.nowMillis(), effects);
-        if (gate.blocked().isPresent()) {
-            QuarantineGate.Blocked blocked = gate.blocked().get();
-            Refusal refusal = Refusal.notRun(blocked.code(), blocked.retryAfterMillis());
-            return refuse(state, event, refusal, blocked.reason(), effects);
-        }
-        FleetState credited = AttemptFlow.creditRetries(gate.state(), service, event.nowMillis());
-        FleetState counted = dispatch.countDemand(credited, request, event.nowMillis());
-        if (workspace.isEmpty() || !workspace.get().limited()) {
-            return dispatch.dispatch(counted.with(request), request, event.nowMillis(), effects);
-        }
-        return requestUnits(counted, request, workspace.get(), 0, event.nowMillis(), effects);
+                new RequestPhase.AwaitingQuota(0, nowMillis));
     }
 
     /** Acquires the quota units of a request from this entry, or asks the entry of the given round for them. */
