A request that waits for units is logged once

Cause: a request over the rate of its workspace asks for units again until a fifth of its objective is over, and each denial left a line. Lines cost processor time that small hosts lack.

Ruled out: asking less often, which changes who gets the units.

Test: requestThatWaitsForUnitsIsLoggedOnce fails without the change.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestFlow.java
@@ -184,8 +184,10 @@
         long retryAt = nowMillis + retryAfterMillis;
         long latest = request.arrivedAtMillis() + request.route().objectiveMillis() / QUOTA_WAIT_DIVISOR;
         if (retryAt <= latest) {
-            effects.add(FleetEffect.Note.of(
-                    "request_waiting", request, "reason", "workspace over its rate for " + retryAfterMillis + " ms"));
+            if (isFirstDenial(request)) {
+                String reason = "workspace over its rate for " + retryAfterMillis + " ms";
+                effects.add(FleetEffect.Note.of("request_waiting", request, "reason", reason));
+            }
             return state.with(request.withPhase(new RequestPhase.AwaitingUnits(retryAt)));
         }
         long retryAfter = Math.min(MAX_RETRY_MILLIS, retryAfterMillis);
@@ -194,6 +196,12 @@
         return dispatch.refuse(state, request, refusal, reason, effects);
     }
 
+    /** Returns whether the request has asked for units only once, which it does when it arrives. */
+    private static boolean isFirstDenial(FleetRequest request) {
+        return request.phase() instanceof RequestPhase.AwaitingQuota awaiting
+                && awaiting.askedAtMillis() == request.arrivedAtMillis();
+    }
+
     private static FleetState refuse(
             FleetState state,
             FleetEvent.RequestArrived event,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestFlowTest.java
@@ -193,6 +193,27 @@
         assertThat(fixture.all(FleetEffect.StartAttempt.class)).hasSize(1);
     }
 
+    // Answers the load of a workspace over its rate, whose requests ask for units several times while they wait.
+    @Test
+    void requestThatWaitsForUnitsIsLoggedOnce() {
+        FleetFixture fixture = withQuotaAtPeer();
+        long request = fixture.call("pay");
+        fixture.receive(new FleetMessage.QuotaAnswer("b", request, 0, false, 40));
+        assertThat(waitNotes(fixture)).isEqualTo(1);
+
+        fixture.advance(50);
+        fixture.receive(new FleetMessage.QuotaAnswer("b", request, 0, false, 40));
+
+        assertThat(fixture.all(FleetEffect.RefuseRequest.class)).isEmpty();
+        assertThat(waitNotes(fixture)).isZero();
+    }
+
+    private static long waitNotes(FleetFixture fixture) {
+        return fixture.all(FleetEffect.Note.class).stream()
+                .filter(note -> note.event().equals("request_waiting"))
+                .count();
+    }
+
     @Test
     void waitForUnitsIsBoundedByTheObjective() {
         FleetFixture fixture = withQuotaAtPeer();
