Explanation: malformed parameters, unknown workspaces, order of targets

From the review: an empty host or a malformed escape closed the connection without an answer; an unknown workspace was explained as a missing key; the target chosen need not be the first by estimate alone; host and path are read as callers' are. The state of each target is looked up in place of three scans.

--- a/jackdawbeam-daemon/src/main/java/org/jackdawbeam/cli/ExplainCommand.java
+++ b/jackdawbeam-daemon/src/main/java/org/jackdawbeam/cli/ExplainCommand.java
@@ -54,18 +54,23 @@
     @Option(names = "--prompt", description = "Parts of the prompt, as ID:TOKENS,... with hexadecimal ids.")
     private String prompt;
 
+    @Option(
+            names = "--request-id",
+            description = "Id of the request; it decides between the services of a route and between similar targets.")
+    private String requestId;
+
     @Option(names = "--deadline-ms", description = "Milliseconds that the caller waits.")
     private Long deadlineMillis;
 
     @Override
     public Integer call() throws Exception {
-        HttpRequest request = HttpRequest.newBuilder(URI.create(metrics + "/explain?" + query()))
+        HttpRequest request = HttpRequest.newBuilder(URI.create(metrics).resolve("/explain?" + query()))
                 .timeout(TIMEOUT)
                 .build();
         try (HttpClient client = HttpClient.newHttpClient()) {
             HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
             if (response.statusCode() != 200) {
-                System.err.println(response.body());
+                System.err.println("status " + response.statusCode() + ": " + response.body());
                 return Main.EXIT_FAILED;
             }
             var mapper = MessageMapper.json().objectMapper();
@@ -85,6 +90,7 @@
         parameters.put("model", model);
         parameters.put("tokens", tokens);
         parameters.put("prompt", prompt);
+        parameters.put("request_id", requestId);
         parameters.put("deadline_ms", deadlineMillis);
         return parameters.entrySet().stream()
                 .filter(entry -> Objects.nonNull(entry.getValue()))
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/explain/Explanation.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/explain/Explanation.java
@@ -10,7 +10,8 @@
  * @param service service that the route selects; empty without a route
  * @param unitsOwner entry that would be asked for the quota units of the workspace; empty if none has to be asked. The
  *     rest of the explanation assumes that it grants them.
- * @param candidates targets of the service, the preferred one first
+ * @param candidates targets of the service: the one that the request would be sent to, then the others by state and
+ *     estimate. In large fleets the choice between similar ones is drawn from the request's id.
  */
 public record Explanation(
         Optional<String> route,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestExplainer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/RequestExplainer.java
@@ -1,7 +1,9 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.jackdawbeam.logic.explain.Explanation;
 import org.jackdawbeam.logic.explain.Explanation.Candidate;
@@ -39,12 +41,14 @@
         }
         Optional<Route> route = state.configuration().flatMap(known -> known.route(call.host(), call.path()));
         Optional<FleetRequest> request = request(reduction, route, call, nowMillis);
+        Outcome outcome = outcome(reduction);
         return new Explanation(
                 route.map(Route::name),
                 request.map(FleetRequest::service),
                 question.map(Question::owner),
-                outcome(reduction),
-                request.map(found -> candidates(state, found, nowMillis)).orElse(List.of()));
+                outcome,
+                request.map(found -> candidates(state, found, outcome, nowMillis))
+                        .orElse(List.of()));
     }
 
     private record Question(String owner, FleetMessage.QuotaQuestion message) {}
@@ -91,7 +95,9 @@
                                     .boxed()
                                     .findFirst());
                 case FleetEffect.Note note
-                when note.event().equals("request_waiting") -> new Outcome.Waiting(field(note, "reason"));
+                when note.event().equals("request_waiting")
+                        && field(note, "request_number").equals(Long.toString(EXPLAINED_REQUEST)) ->
+                    new Outcome.Waiting(field(note, "reason"));
                 default -> outcome;
             };
         }
@@ -103,42 +109,45 @@
         return index < 0 ? "" : note.fields().get(index + 1);
     }
 
-    private static List<Candidate> candidates(FleetState state, FleetRequest request, long nowMillis) {
+    /** Returns the target that the request would be sent to, and then the others by state and estimate. */
+    private static List<Candidate> candidates(FleetState state, FleetRequest request, Outcome outcome, long nowMillis) {
         Candidates candidates = Candidates.of(state, request, nowMillis);
+        Map<String, CandidateState> states = states(candidates);
+        String sentTo = outcome instanceof Outcome.Sent sent ? sent.target() : "";
         return state.targets().values().stream()
                 .filter(target -> target.description().service().equals(request.service()))
-                .map(target -> candidate(state, request, candidates, target, nowMillis))
-                .sorted(Comparator.comparing(Candidate::state)
+                .map(target -> candidate(state, request, candidates.engine(), target, states, nowMillis))
+                .sorted(Comparator.comparing(
+                                (Candidate candidate) -> !candidate.target().equals(sentTo))
+                        .thenComparing(Candidate::state)
                         .thenComparingLong(candidate -> candidate.estimateMillis() + candidate.penaltyMillis())
                         .thenComparing(Candidate::target))
                 .toList();
     }
 
     private static Candidate candidate(
-            FleetState state, FleetRequest request, Candidates candidates, FleetTarget target, long nowMillis) {
-        TargetChooser.Choice choice = TargetChooser.estimate(state, request, target, candidates.engine(), nowMillis);
+            FleetState state,
+            FleetRequest request,
+            boolean engine,
+            FleetTarget target,
+            Map<String, CandidateState> states,
+            long nowMillis) {
+        TargetChooser.Choice choice = TargetChooser.estimate(state, request, target, engine, nowMillis);
         return new Candidate(
                 target.description().id(),
                 target.description().zone(),
-                stateOf(candidates, target),
+                states.getOrDefault(target.description().id(), CandidateState.EXCLUDED),
                 choice.prefillTokens(),
                 choice.queuedAheadTokens(),
                 choice.estimateMillis(),
                 choice.penaltyMillis());
     }
 
-    private static CandidateState stateOf(Candidates candidates, FleetTarget target) {
-        if (contains(candidates.capable(), target)) {
-            return CandidateState.CAPABLE;
-        }
-        if (contains(candidates.usable(), target)) {
-            return CandidateState.WITHOUT_MODEL;
-        }
-        return contains(candidates.available(), target) ? CandidateState.NOT_ACCEPTING : CandidateState.EXCLUDED;
-    }
-
-    private static boolean contains(List<FleetTarget> targets, FleetTarget target) {
-        String id = target.description().id();
-        return targets.stream().anyMatch(known -> known.description().id().equals(id));
+    private static Map<String, CandidateState> states(Candidates candidates) {
+        Map<String, CandidateState> states = new HashMap<>();
+        candidates.available().forEach(target -> states.put(target.description().id(), CandidateState.NOT_ACCEPTING));
+        candidates.usable().forEach(target -> states.put(target.description().id(), CandidateState.WITHOUT_MODEL));
+        candidates.capable().forEach(target -> states.put(target.description().id(), CandidateState.CAPABLE));
+        return states;
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ExplainEndpoint.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ExplainEndpoint.java
@@ -17,8 +17,8 @@
 
 /**
  * Tells operators where a request would go now, and why, without sending it. {@code GET
- * /explain?host=H&path=P&workspace=W&model=M&tokens=IN,OUT&prompt=ID:TOKENS,...&deadline_ms=N} returns JSON; all but host
- * and path may be left out. Must be used on the loop's thread.
+ * /explain?host=H&path=P&workspace=W&model=M&tokens=IN,OUT&prompt=ID:TOKENS,...&deadline_ms=N&request_id=ID} returns JSON;
+ * all but host and path may be left out. The request id decides between services of a route by weight. Must be used on the loop's thread.
  */
 public final class ExplainEndpoint {
     /** Path that this endpoint serves. */
@@ -40,18 +40,23 @@
         this.loop = loop;
     }
 
-    /** Responds with 200 and the explanation, or 400 if a parameter is missing or malformed. */
+    /** Responds with 200 and the explanation, 400 if a parameter is missing or malformed, 405 for other methods. */
     public void handle(HttpExchange exchange) {
-        Map<String, List<String>> parameters = new QueryStringDecoder(exchange.uri()).parameters();
-        if (!parameters.containsKey("host") || !parameters.containsKey("path")) {
-            respondProblem(exchange, "host and path are required");
+        if (!exchange.method().equals("GET")) {
+            respondProblem(exchange, 405, "use GET");
             return;
         }
         CallerRequest call;
         try {
+            Map<String, List<String>> parameters = new QueryStringDecoder(exchange.uri()).parameters();
+            Optional<String> problem = problem(parameters);
+            if (problem.isPresent()) {
+                respondProblem(exchange, 400, problem.get());
+                return;
+            }
             call = call(parameters);
-        } catch (NumberFormatException e) {
-            respondProblem(exchange, "tokens must be IN,OUT, prompt ID:TOKENS,... and deadline_ms a number");
+        } catch (IllegalArgumentException e) {
+            respondProblem(exchange, 400, "tokens must be IN,OUT, prompt ID:TOKENS,... and deadline_ms a number");
             return;
         }
         Explanation explanation = explainer.explain(loop.state(), call, loop.nowMillis());
@@ -59,21 +64,33 @@
         exchange.respond(200, JSON, body, Map.of());
     }
 
+    private Optional<String> problem(Map<String, List<String>> parameters) {
+        if (value(parameters, "host").isEmpty() || value(parameters, "path").isEmpty()) {
+            return Optional.of("host and path are required");
+        }
+        Optional<String> workspace = value(parameters, "workspace");
+        return workspace.isPresent() && workspace.flatMap(this::anyKey).isEmpty()
+                ? Optional.of("the configuration has no such workspace, or it has no key")
+                : Optional.empty();
+    }
+
     private CallerRequest call(Map<String, List<String>> parameters) {
         Optional<String> model = value(parameters, "model");
         Optional<String> base = model.map(name -> name.split("/", 2)[0]);
         Optional<String> adapter = model.filter(name -> name.contains("/")).map(name -> name.split("/", 2)[1]);
         Optional<String[]> tokens = value(parameters, "tokens").map(text -> text.split(",", 2));
         return new CallerRequest(
-                REQUEST_ID,
-                value(parameters, "host").orElseThrow(),
-                value(parameters, "path").orElseThrow(),
+                value(parameters, "request_id").orElse(REQUEST_ID),
+                beforeFirst(':', value(parameters, "host").orElseThrow()),
+                beforeFirst('?', value(parameters, "path").orElseThrow()),
                 value(parameters, "workspace").flatMap(this::anyKey),
-                value(parameters, "deadline_ms").map(Long::parseLong).orElse(NO_DEADLINE_MILLIS),
+                value(parameters, "deadline_ms")
+                        .map(ExplainEndpoint::parseCount)
+                        .orElse(NO_DEADLINE_MILLIS),
                 base,
                 adapter,
-                tokens.map(counts -> Long.parseLong(counts[0])).orElse(0L),
-                tokens.map(counts -> Long.parseLong(counts.length < 2 ? "" : counts[1]))
+                tokens.map(counts -> parseCount(counts[0])).orElse(0L),
+                tokens.map(counts -> parseCount(counts.length < 2 ? "" : counts[1]))
                         .orElse(0L),
                 tokens.isPresent(),
                 value(parameters, "prompt").map(ExplainEndpoint::prompt).orElse(List.of()),
@@ -101,11 +118,25 @@
         return List.copyOf(parts);
     }
 
+    /** Callers lose the port of the host and the query of the path, too. */
+    private static String beforeFirst(char separator, String text) {
+        int index = text.indexOf(separator);
+        return index < 0 ? text : text.substring(0, index);
+    }
+
+    private static long parseCount(String text) {
+        long count = Long.parseLong(text);
+        if (count < 0 || count > NO_DEADLINE_MILLIS) {
+            throw new NumberFormatException(text);
+        }
+        return count;
+    }
+
     private static Optional<String> value(Map<String, List<String>> parameters, String name) {
         return Optional.ofNullable(parameters.get(name)).map(List::getFirst).filter(text -> !text.isEmpty());
     }
 
-    private static void respondProblem(HttpExchange exchange, String problem) {
-        exchange.respond(400, "text/plain", problem.getBytes(StandardCharsets.UTF_8), Map.of());
+    private static void respondProblem(HttpExchange exchange, int status, String problem) {
+        exchange.respond(status, "text/plain", problem.getBytes(StandardCharsets.UTF_8), Map.of());
     }
 }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestExplainerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/RequestExplainerTest.java
@@ -50,12 +50,30 @@
     }
 
     @Test
-    void changesNothing() {
-        FleetState before = fixture.state;
-        explain("/chat/x", FleetFixture.KEY, "m1");
+    void nextRequestIsTreatedAsIfNothingHadBeenExplained() {
+        FleetFixture untouched = FleetFixture.serving(
+                FleetFixture.engine("e1", "m1"), FleetFixture.engine("e22", "m1"), FleetFixture.engine("e333", "m2"));
+        for (int time = 0; time < 20; time++) {
+            explain("/chat/x", FleetFixture.KEY, "m1");
+            explain("/chat/x", FleetFixture.KEY, "m3");
+        }
+
+        fixture.chat("chat", "m1");
+        untouched.chat("chat", "m1");
+
+        assertThat(fixture.effects).isEqualTo(untouched.effects);
+        assertThat(fixture.state).isEqualTo(untouched.state);
+    }
+
+    @Test
+    void choosesAmongEqualTargetsAsTheNextRequestDoes() {
+        Explanation explanation = explain("/chat/x", FleetFixture.KEY, "m1");
 
-        assertThat(fixture.state).isSameAs(before);
-        assertThat(fixture.state.requests()).isEmpty();
+        assertThat(explanation.outcome())
+                .isInstanceOfSatisfying(
+                        Outcome.Sent.class,
+                        sent -> assertThat(explanation.candidates().getFirst().target())
+                                .isEqualTo(sent.target()));
     }
 
     @Test
@@ -86,7 +104,13 @@
         fixture.advance(50);
         Explanation explanation = explain("/chat/x", FleetFixture.KEY, "m1");
 
-        assertThat(explanation.unitsOwner()).isPresent();
+        fixture.chat("chat", "m1");
+
+        String asked = fixture.only(FleetEffect.SendPeerMessage.class).address();
+        assertThat(explanation
+                        .unitsOwner()
+                        .map(owner -> FleetFixture.member(owner).peerAddress()))
+                .contains(asked);
         assertThat(explanation.outcome()).isInstanceOf(Outcome.Sent.class);
     }
 }
