Account of costs: the slowness that targets state is taken out

The figure changes many times a second and says little of the time until an answer.

Change: it is no longer decoded; paces of models and engines, the expected end of answers and the order of late requests stay.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/cost/CostAccount.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/cost/CostAccount.java
@@ -14,7 +14,6 @@
  * @param decoding time from the first to the last byte over the number of stated tokens and the step, by service
  * @param models pace of models, by service and model
  * @param engines pace of engines, by id
- * @param stated slowness that targets have stated, by id
  * @param mixes priorities that are sent, by service
  */
 public record CostAccount(
@@ -22,7 +21,6 @@
         PMap<String, Pace> decoding,
         PMap<String, Pace> models,
         PMap<String, Pace> engines,
-        PMap<String, StatedSlowness> stated,
         PMap<String, UrgencyMix> mixes) {
     static final int MAX_ENTRIES = 1_024; // of each kind, a few hundred bytes each
     private static final double MIN_FACTOR = 0.25;
@@ -36,7 +34,6 @@
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
-                HashTreePMap.empty(),
                 HashTreePMap.empty());
     }
 
@@ -44,7 +41,7 @@
     public CostAccount withPrefill(Place place, double expectedMillis, double observedMillis, long nowMillis) {
         double logarithm = logarithm(expectedMillis, observedMillis);
         Pace service = prefill.getOrDefault(place.service(), Pace.unknown()).with(logarithm, nowMillis);
-        return new CostAccount(prefill.plus(place.service(), service), decoding, models, engines, stated, mixes)
+        return new CostAccount(prefill.plus(place.service(), service), decoding, models, engines, mixes)
                 .withDeviation(place, logarithm - service.mean(nowMillis), nowMillis);
     }
 
@@ -52,37 +49,22 @@
     public CostAccount withDecoding(Place place, double expectedMillis, double observedMillis, long nowMillis) {
         double logarithm = logarithm(expectedMillis, observedMillis);
         Pace service = decoding.getOrDefault(place.service(), Pace.unknown()).with(logarithm, nowMillis);
-        return new CostAccount(prefill, decoding.plus(place.service(), service), models, engines, stated, mixes)
+        return new CostAccount(prefill, decoding.plus(place.service(), service), models, engines, mixes)
                 .withDeviation(place, logarithm - service.mean(nowMillis), nowMillis);
     }
 
-    /** Returns the account after a target has stated how long work takes on its machine. */
-    public CostAccount withStated(String target, int percent, long nowMillis) {
-        PMap<String, StatedSlowness> kept = withoutOldest(stated, target, StatedSlowness::statedAtMillis);
-        return new CostAccount(
-                prefill, decoding, models, engines, kept.plus(target, new StatedSlowness(percent, nowMillis)), mixes);
-    }
-
     /** Returns the account after a request was sent to an engine of the service. */
     public CostAccount withSent(String service, int priority) {
         UrgencyMix known = mix(service);
         UrgencyMix mix = known.withSent(priority);
-        return mix == known
-                ? this
-                : new CostAccount(prefill, decoding, models, engines, stated, mixes.plus(service, mix));
+        return mix == known ? this : new CostAccount(prefill, decoding, models, engines, mixes.plus(service, mix));
     }
 
     /** Returns by how much longer work takes at the place than is usual for the service; 1 if nothing is known. */
     public double factor(Place place, long nowMillis) {
         double logarithm = pace(models, place.modelKey()).distinct(nowMillis)
                 + pace(engines, place.engine()).distinct(nowMillis);
-        return Math.clamp(Math.exp(logarithm) * slowness(place.engine(), nowMillis), MIN_FACTOR, MAX_FACTOR);
-    }
-
-    /** Returns how long work takes on the target's machine now, relative to the usual, as it stated lately. */
-    public double slowness(String target, long nowMillis) {
-        StatedSlowness known = stated.get(target);
-        return known == null ? 1 : known.factor(nowMillis);
+        return Math.clamp(Math.exp(logarithm), MIN_FACTOR, MAX_FACTOR);
     }
 
     /** Returns the part of the stated output tokens that answers of the service take, by time; 0 if unknown. */
@@ -98,7 +80,6 @@
     }
 
     private CostAccount withDeviation(Place place, double deviation, long nowMillis) {
-        double unstated = deviation - Math.log(slowness(place.engine(), nowMillis));
         Pace model = pace(models, place.modelKey());
         Pace engine = pace(engines, place.engine());
         PMap<String, Pace> keptModels = withoutOldest(models, place.modelKey(), Pace::learntAtMillis);
@@ -106,9 +87,8 @@
         return new CostAccount(
                 prefill,
                 decoding,
-                keptModels.plus(place.modelKey(), model.with(unstated - engine.distinct(nowMillis), nowMillis)),
-                keptEngines.plus(place.engine(), engine.with(unstated - model.distinct(nowMillis), nowMillis)),
-                stated,
+                keptModels.plus(place.modelKey(), model.with(deviation - engine.distinct(nowMillis), nowMillis)),
+                keptEngines.plus(place.engine(), engine.with(deviation - model.distinct(nowMillis), nowMillis)),
                 mixes);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AttemptFlow.java
@@ -43,11 +43,10 @@
         String id = ((RequestPhase.Running) request.phase()).target();
         FleetState notified = event.statement().leaving() ? leaving.onTargetAnswer(state, id, effects) : state;
         FleetState loaded = withTarget(
-                        notified,
-                        id,
-                        target -> WarmUpFlow.onAnswer(state, target, event.nowMillis())
-                                .withStatement(event.statement(), event.nowMillis()))
-                .with(CostFlow.learnStatement(state.costs(), id, event.statement(), event.nowMillis()));
+                notified,
+                id,
+                target -> WarmUpFlow.onAnswer(state, target, event.nowMillis())
+                        .withStatement(event.statement(), event.nowMillis()));
         FleetState limited = limits.onTargetAnswer(
                 loaded,
                 id,
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/CostFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/CostFlow.java
@@ -2,7 +2,6 @@
 
 import org.jackdawbeam.logic.cost.CostAccount;
 import org.jackdawbeam.logic.cost.Place;
-import org.jackdawbeam.model.fleet.TargetStatement;
 
 /** Records in the account of costs what answers show. */
 final class CostFlow {
@@ -11,15 +10,6 @@
 
     private CostFlow() {}
 
-    /** Records what a target states about its machine. */
-    static CostAccount learnStatement(CostAccount costs, String target, TargetStatement statement, long nowMillis) {
-        return statement
-                .load()
-                .filter(load -> load.slownessPercent().isPresent())
-                .map(load -> costs.withStated(target, load.slownessPercent().getAsInt(), nowMillis))
-                .orElse(costs);
-    }
-
     /** Records the time to the first byte of an answer, unless other requests went before it. */
     static CostAccount learnFirstByte(
             FleetState state, FleetRequest request, FleetTarget target, OutstandingAttempt attempt, long nowMillis) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/TargetChooser.java
@@ -85,8 +85,7 @@
         long prefillTokens = engine ? uncachedTokens(request, target) : 0;
         long queuedAheadTokens = engine ? target.pendingPrefillTokens() + peersPrefillTokens : 0;
         Place place = new Place(request.service(), request.call().model().orElse(""), id);
-        double pace =
-                engine ? state.costs().factor(place, nowMillis) : state.costs().slowness(id, nowMillis);
+        double pace = engine ? state.costs().factor(place, nowMillis) : 1;
         double estimate = pace
                 * (engine
                         ? state.prefillStatistics(request.service()).prefillMillis(prefillTokens + queuedAheadTokens)
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/cost/CostAccountTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/cost/CostAccountTest.java
@@ -97,29 +97,16 @@
         assertThat(factor(slow, 0, 0)).isCloseTo(1, within(0.05));
     }
 
-    @Test
-    void statedSlownessCountsAtOnceAndAgesWithinSeconds() {
-        CostAccount account = CostAccount.unknown().withStated("e0", 300, nowMillis);
-        assertThat(factor(account, 0, 0)).isEqualTo(3);
-        assertThat(factor(account, 0, 1)).isEqualTo(1);
-
-        nowMillis += 8_000;
-
-        assertThat(factor(account, 0, 0)).isCloseTo(1, within(0.02));
-    }
-
     @Test
     void memoryIsBoundedByDroppingTheOldest() {
         CostAccount account = CostAccount.unknown();
         for (int number = 0; number < 2 * CostAccount.MAX_ENTRIES; number++) {
-            account = account.withPrefill(place("m" + number, "e" + number), 1, 1, number)
-                    .withStated("e" + number, 200, number);
+            account = account.withPrefill(place("m" + number, "e" + number), 1, 1, number);
         }
 
         int newest = 2 * CostAccount.MAX_ENTRIES - 1;
         assertThat(account.models()).hasSize(CostAccount.MAX_ENTRIES).containsKey("s/m" + newest);
         assertThat(account.engines()).hasSize(CostAccount.MAX_ENTRIES).doesNotContainKey("e0");
-        assertThat(account.stated()).hasSize(CostAccount.MAX_ENTRIES);
     }
 
     @Test
