--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ExplainEndpoint.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/ExplainEndpoint.java
@@ -16,10 +16,10 @@
 import org.jackdawbeam.net.http.HttpExchange;
 
 /**
- * Tells operators where a request would go now, and why, without sending it. {@code GET /explain?host=H&path=P} returns
- * JSON; the parameters {@code workspace}, {@code model}, {@code tokens=IN,OUT}, {@code prompt=ID:TOKENS,...},
- * {@code deadline_ms} and {@code request_id}, which decides between services of a route by weight, may be left out. Must
- * be used on the loop's thread.
+ * Tells operators where a request would go now, and why, without sending it. {@code GET /explain?host=H&path=P}
+ * returns JSON; the parameters {@code workspace}, {@code model}, {@code tokens=IN,OUT}, {@code prompt=ID:TOKENS,...},
+ * {@code deadline_ms} and {@code request_id}, which decides between services of a route by weight, may be left out.
+ * Must be used on the loop's thread.
  */
 public final class ExplainEndpoint {
     /** Path that this endpoint serves. */
