BoundedMemoryTest: its description names the time that it waits for

The comment said that nothing depends on the speed of the machine; an ordinary request has to be answered within 20 s. Checks, crowd and bounds are unchanged.

--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/BoundedMemoryTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/BoundedMemoryTest.java
@@ -23,7 +23,7 @@
 
 /**
  * An entry process before a crowd that sends requests of legal size. Heap, memory and descriptors are smaller than
- * those of a host, and so is the crowd. Nothing here depends on the speed of the machine.
+ * those of a host, and so is the crowd. An ordinary request has to be answered within 20 s after the crowd has left.
  */
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class BoundedMemoryTest {
