--- a/review/standin-2/Entries.java
+++ b/review/standin-2/Entries.java
@@ -17,6 +17,7 @@
 
     private final Path folder = Files.createTempDirectory("review-2-");
     private final List<Process> processes = new ArrayList<>();
+    private final List<ProcessBuilder> commands = new ArrayList<>();
     private final List<String> callerAddresses = new ArrayList<>();
     private final List<String> readyAddresses = new ArrayList<>();
     private final List<String> names = new ArrayList<>();
@@ -66,6 +67,22 @@
         }
     }
 
+    /** Kills all entries at once and starts them again at the same addresses. */
+    void killAll(long downMillis) throws Exception {
+        processes.forEach(Process::destroyForcibly);
+        for (Process process : processes) {
+            process.waitFor();
+        }
+        TimeUnit.MILLISECONDS.sleep(downMillis);
+        for (int index = 0; index < commands.size(); index++) {
+            Path settings = folder.resolve(names.get(index) + ".toml");
+            Files.writeString(settings, Files.readString(settings).replace("firstStart = true", "firstStart = false"));
+            ProcessBuilder again = commands.get(index);
+            Path log = folder.resolve(names.get(index) + "-again.log");
+            processes.set(index, again.redirectOutput(log.toFile()).start());
+        }
+    }
+
     boolean allRun() {
         return processes.stream().allMatch(Process::isAlive);
     }
@@ -171,6 +188,7 @@
         builder.environment().put("JACKDAWBEAM_NODE_FILE", settings.toString());
         builder.environment().put("JACKDAWBEAM_METRICS_PORT", "0");
         builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        commands.add(builder);
         processes.add(builder.start());
         names.add(name);
         callerAddresses.add(ip + ":" + ports[1]);
