--- a/review/standin-2/Callers.java
+++ b/review/standin-2/Callers.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +35,16 @@
         return calls;
     }
 
+    /** Writes what was sent and answered, and what was run, by the id of the request. */
+    void write(PrintWriter record, long startedAtMillis, Map<String, String> runs) {
+        calls.values().stream()
+                .sorted(Comparator.comparingLong(Call::sentAtMillis).thenComparing(Call::id))
+                .forEach(call -> record.println("request " + call.id() + " to " + call.entry() + " sent at "
+                        + (call.sentAtMillis() - startedAtMillis) + " ms, answered " + call.status() + " at "
+                        + (call.endedAtMillis() - startedAtMillis) + " ms, "
+                        + runs.getOrDefault(call.id(), "not run")));
+    }
+
     /**
      * Starts a client.
      *
--- a/review/standin-2/HalfSilentPeers.java
+++ b/review/standin-2/HalfSilentPeers.java
@@ -103,6 +103,9 @@
                 TimeUnit.MILLISECONDS.sleep(HOT_MILLIS);
                 boolean allRan = entries.allRun();
                 callers.close();
+                Map<String, String> described = new java.util.HashMap<>();
+                runs.forEach((id, ranAt) -> described.put(id, "run at " + (ranAt - startedAt) + " ms"));
+                callers.write(record, startedAt, described);
                 if (!allRan || trouble && silenced == 0) {
                     record.println("an entry has ended, or no connection was found");
                     return 2;
--- a/review/standin-2/ModelEngine.java
+++ b/review/standin-2/ModelEngine.java
@@ -21,6 +21,7 @@
     private final String zone;
     private final Store store;
     private final BiConsumer<String, String> onOrder;
+    private final BiConsumer<String, String> onRun;
     private final Http.Server server;
     private final Set<String> models = new TreeSet<>();
     private final long born = System.currentTimeMillis();
@@ -33,6 +34,7 @@
      * Starts an engine.
      *
      * @param onOrder receives the id of the engine and each order that it accepts
+     * @param onRun receives the id of the engine and the id of each request that it begins to run
      */
     ModelEngine(
             String id,
@@ -41,13 +43,15 @@
             String ip,
             Set<String> models,
             Store store,
-            BiConsumer<String, String> onOrder)
+            BiConsumer<String, String> onOrder,
+            BiConsumer<String, String> onRun)
             throws IOException {
         this.id = id;
         this.service = service;
         this.zone = zone;
         this.store = store;
         this.onOrder = onOrder;
+        this.onRun = onRun;
         this.models.addAll(models);
         this.server = new Http.Server(ip, this::answer);
         Thread.ofVirtual().start(this::sendHeartbeats);
@@ -143,6 +147,7 @@
                 return Http.response(421, Map.of("Not-Executed", "1"), new byte[0]);
             }
         }
+        onRun.accept(id, request.header("request-id"));
         Thread.sleep(30);
         StringBuilder events = new StringBuilder();
         for (int number = 1; number <= EVENTS; number++) {
--- a/review/standin-2/RetiredModel.java
+++ b/review/standin-2/RetiredModel.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -63,10 +64,15 @@
         ConcurrentLinkedQueue<String> orders = new ConcurrentLinkedQueue<>();
         BiConsumer<String, String> onOrder = (engine, order) ->
                 orders.add((System.currentTimeMillis() - startedAt) + " ms: " + engine + " accepts " + order);
+        Map<String, String> runs = new ConcurrentHashMap<>();
+        BiConsumer<String, String> onRun = (engine, request) -> runs.merge(
+                request,
+                "run by " + engine + " at " + (System.currentTimeMillis() - startedAt) + " ms",
+                (first, second) -> first + " and " + second);
         try (Store store = new Store(Entries.address(100))) {
             store.put("keyed.op", "config", configuration(1, OTHER, RETIRED, "model-c", "model-d"));
-            new ModelEngine("e-1", "llm", "zone-a", Entries.address(110), Set.of(OTHER, RETIRED), store, onOrder);
-            new ModelEngine("e-2", "llm", "zone-b", Entries.address(110), Set.of("model-c", "model-d"), store, onOrder);
+            new ModelEngine("e-1", "llm", "zone-a", Entries.address(110), Set.of(OTHER, RETIRED), store, onOrder, onRun);
+            new ModelEngine("e-2", "llm", "zone-b", Entries.address(110), Set.of("model-c", "model-d"), store, onOrder, onRun);
             try (Entries entries = new Entries(ENTRIES, store.address());
                     Callers callers = new Callers("models.example", KEY)) {
                 entries.awaitReady(30_000);
@@ -98,6 +104,7 @@
                 boolean allRan = entries.allRun();
                 callers.close();
                 orders.forEach(record::println);
+                callers.write(record, startedAt, runs);
                 return judge(callers.calls(), startedAt, faultAt, backAt + RECOVERY_MILLIS, allRan, record);
             }
         }
--- a/review/standin-2/SilentStore.java
+++ b/review/standin-2/SilentStore.java
@@ -80,6 +80,10 @@
                 TimeUnit.MILLISECONDS.sleep(END_MILLIS);
                 boolean allRan = entries.allRun();
                 callers.close();
+                Map<String, String> described = new java.util.HashMap<>();
+                runs.forEach(run -> described.put(
+                        run.request(), "run by " + run.engine() + " at " + (run.atMillis() - leavingAt) + " ms"));
+                callers.write(record, leavingAt, described);
                 return judge(runs, callers.calls(), leaving.id(), leavingAt, silentAt, allRan, record);
             }
         }
