Reads on silent connections to the store are sent again on a new one

Cause: an unanswered call was taken for an absent store. A read of the target list went out up to 900 ms after the silence on an idle connection that was silent too, waited 1,400 ms at the store and was given up 900 ms later; the next one took another silent connection of the pool. The unanswered read then counted as an outage, so that removals got the grace for expired registrations.

Ruled out: TCP keep-alive and TCP_USER_TIMEOUT (the other system may still acknowledge), shorter waits (each call is priced), a shorter timeout (a slow store would be taken for an absent one).

Change: HedgedReads sends a read whose answer is 300 ms overdue once more on a new connection; the first answer counts. A call without an answer closes the idle connections to its address.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/BufferedHttpClient.java
@@ -37,8 +37,11 @@
 
 /**
  * HTTP/1.1 client for control traffic that buffers each response completely. A connection returns to the pool only
- * after a complete response and is closed after any failure, so that an unresponsive connection is not used again. A
- * pooled connection is closed if it receives data while it is idle, because that data belongs to no request.
+ * after a complete response and is closed after any failure, so that an unresponsive connection is not used again. The
+ * idle connections to its address are closed too, because whatever silenced one may have silenced all. A pooled
+ * connection is closed if it receives data while it is idle, because that data belongs to no request.
+ *
+ * <p>A request whose future is cancelled is given up, and its connection is closed.
  */
 public final class BufferedHttpClient {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024; // four times the largest configuration
@@ -104,11 +107,7 @@
             long timeoutMillis,
             BooleanSupplier permitted) {
         CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
-        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
-        headers.forEach((name, value) -> request.headers().set(name, value));
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
-        HttpUtil.setContentLength(request, body.length);
+        DefaultFullHttpRequest request = request(address, method, uri, headers, body);
         Runnable onNewConnection = () -> connectAndExchange(address, request, response, timeoutMillis, permitted);
         Channel pooled = takeIdleConnection(address);
         if (pooled == null) {
@@ -125,6 +124,37 @@
         return response;
     }
 
+    /** Sends a request without a body on a connection that is opened for it. */
+    CompletableFuture<BufferedHttpResponse> sendOnNewConnection(
+            InetSocketAddress address, String method, String uri, long timeoutMillis) {
+        CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
+        DefaultFullHttpRequest request = request(address, method, uri, Map.of(), new byte[0]);
+        connectAndExchange(address, request, response, timeoutMillis, () -> true);
+        return response;
+    }
+
+    /** Closes the idle connections to an address. */
+    void closeIdleConnections(InetSocketAddress address) {
+        Deque<Channel> channels = idleConnections.get(address);
+        if (channels == null) {
+            return;
+        }
+        synchronized (channels) {
+            channels.forEach(Channel::close);
+            channels.clear();
+        }
+    }
+
+    private static DefaultFullHttpRequest request(
+            InetSocketAddress address, String method, String uri, Map<String, String> headers, byte[] body) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
+        headers.forEach((name, value) -> request.headers().set(name, value));
+        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        HttpUtil.setContentLength(request, body.length);
+        return request;
+    }
+
     private void connectAndExchange(
             InetSocketAddress address,
             DefaultFullHttpRequest request,
@@ -170,7 +200,7 @@
             CompletableFuture<BufferedHttpResponse> response,
             long timeoutMillis,
             BooleanSupplier permitted) {
-        if (!permitted.getAsBoolean()) {
+        if (response.isCancelled() || !permitted.getAsBoolean()) {
             request.release();
             channel.close();
             response.completeExceptionally(failure(ErrorCode.NOT_PERMITTED, address));
@@ -180,13 +210,18 @@
         channel.pipeline().addLast(new ResponseHandler(address, response));
         var timer = channel.eventLoop()
                 .schedule(() -> fail(channel, address, response), timeoutMillis, TimeUnit.MILLISECONDS);
-        response.whenComplete((result, error) -> timer.cancel(false));
+        response.whenComplete((result, error) -> {
+            timer.cancel(false);
+            if (response.isCancelled()) {
+                channel.close();
+            }
+        });
         channel.writeAndFlush(request);
     }
 
-    private static void fail(
-            Channel channel, InetSocketAddress address, CompletableFuture<BufferedHttpResponse> response) {
+    private void fail(Channel channel, InetSocketAddress address, CompletableFuture<BufferedHttpResponse> response) {
         channel.close();
+        closeIdleConnections(address);
         response.completeExceptionally(failure(ErrorCode.CONNECTION_SILENT, address));
     }
 
