Models that the configuration drops are unloaded, and no longer stop placement

Cause: to make room, the leader looked up the load time of each model that an engine holds. The configuration no longer had one of them: NullPointerException in ReplicaCosts.loadSeconds in each tick.

Ruled out: a guard at the look-up alone. Nothing fits beside a model of unknown size, so that two of them on an engine block it, and no adapter is loaded beside one while others are unloaded for it.

Change: RetiredModelFlow unloads such a model 4 s after the leader first missed it, if the configuration has been read since (another leader may have loaded a model of a newer version). Before that it can be displaced; its load time counts as the longest of the service and no demand is expected to shift to it. Nothing is loaded beside it.

Open: a request that waits for a model when a version drops it waits until its deadline instead of being refused at once.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/AdapterFlow.java
@@ -132,8 +132,10 @@
             List<FleetEffect> effects) {
         FleetTarget target = state.targets().get(wish.target());
         EngineState engineState = Engines.stateOf(state, target);
-        boolean available =
-                engineState.isIdle() && !target.declinesOrders(nowMillis) && !claimed.contains(wish.target());
+        boolean available = engineState.isIdle()
+                && !target.declinesOrders(nowMillis)
+                && !claimed.contains(wish.target())
+                && RetiredModelFlow.knowsAll(engine, engineState);
         if (!available) {
             claimed.add(wish.target());
             return findAlternativeEngine(state, engine, wish, claimed, nowMillis)
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -26,7 +26,7 @@
     private final TargetLimitFlow limits = new TargetLimitFlow();
     private final WarmUpFlow warmUp = new WarmUpFlow();
     private final ModelWaitFlow modelWaits = new ModelWaitFlow();
-    private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow());
+    private final PlacementFlow placement = new PlacementFlow(adapters, new ReplicaFlow(), new RetiredModelFlow());
     private final RequestFlow requests = new RequestFlow(quota, dispatch);
     private final AttemptFlow attempts = new AttemptFlow(dispatch, leaving, limits, quarantine);
     private final StopFlow stop = new StopFlow(peers, dispatch);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.jackdawbeam.model.fleet.EngineDefinition;
 import org.jackdawbeam.model.fleet.EngineOrder;
 import org.jackdawbeam.model.fleet.ModelDefinition;
 import org.jackdawbeam.model.fleet.OrderResponse;
@@ -19,10 +20,12 @@
 
     private final AdapterFlow adapters;
     private final ReplicaFlow replicas;
+    private final RetiredModelFlow retiredModels;
 
-    PlacementFlow(AdapterFlow adapters, ReplicaFlow replicas) {
+    PlacementFlow(AdapterFlow adapters, ReplicaFlow replicas, RetiredModelFlow retiredModels) {
         this.adapters = adapters;
         this.replicas = replicas;
+        this.retiredModels = retiredModels;
     }
 
     FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
@@ -37,14 +40,18 @@
                 next = adapters.broadcastLoadedAdapters(next, service.name(), nowMillis, effects);
                 next = adapters.loadAdapters(
                         next, service.name(), service.engine().get(), nowMillis, effects);
-                next = planDue
-                        ? replicas.plan(next, service.name(), service.engine().get(), nowMillis, effects)
-                        : next;
+                next = planDue ? plan(next, service.name(), service.engine().get(), nowMillis, effects) : next;
             }
         }
         return next;
     }
 
+    private FleetState plan(
+            FleetState state, String service, EngineDefinition engine, long nowMillis, List<FleetEffect> effects) {
+        FleetState next = retiredModels.tick(state, service, engine, nowMillis, effects);
+        return replicas.plan(next, service, engine, nowMillis, effects);
+    }
+
     FleetState onReport(FleetState state, FleetEvent.ReportRead event, List<FleetEffect> effects) {
         FleetTarget target = state.targets().get(event.target());
         if (target == null || state.leadership().fencingToken().isEmpty()) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementState.java
@@ -13,6 +13,7 @@
  * @param wishes requested adapters
  * @param reservations models for which engines are making room, by target id
  * @param unanswered orders to load that have not been answered, by target id
+ * @param retiredSince by target id, the models that it holds and the configuration does not have, and since when
  * @param trend demand for models
  * @param availableLoads number of loads from the weight store that may start now
  * @param accruedAtMillis time up to which available loads have been accrued
@@ -23,6 +24,7 @@
         PMap<AdapterWish.Id, AdapterWish> wishes,
         PMap<String, Reservation> reservations,
         PMap<String, List<UnansweredOrder>> unanswered,
+        PMap<String, PMap<String, Long>> retiredSince,
         DemandTrend trend,
         double availableLoads,
         long accruedAtMillis,
@@ -42,6 +44,7 @@
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                HashTreePMap.empty(),
                 DemandTrend.none(),
                 0,
                 nowMillis,
@@ -53,7 +56,9 @@
     }
 
     PlacementState without(String target) {
-        return withEngines(engines.minus(target)).withReservations(reservations.minus(target));
+        return withEngines(engines.minus(target))
+                .withReservations(reservations.minus(target))
+                .withRetired(target, HashTreePMap.empty());
     }
 
     PlacementState with(AdapterWish wish) {
@@ -66,7 +71,15 @@
 
     PlacementState withReservations(PMap<String, Reservation> changed) {
         return new PlacementState(
-                engines, wishes, changed, unanswered, trend, availableLoads, accruedAtMillis, plannedAtMillis);
+                engines,
+                wishes,
+                changed,
+                unanswered,
+                retiredSince,
+                trend,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 
     /** Adds an order that has just been sent, and drops those that the engine cannot execute any more. */
@@ -88,7 +101,31 @@
 
     PlacementState with(DemandTrend changed) {
         return new PlacementState(
-                engines, wishes, reservations, unanswered, changed, availableLoads, accruedAtMillis, plannedAtMillis);
+                engines,
+                wishes,
+                reservations,
+                unanswered,
+                retiredSince,
+                changed,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
+    }
+
+    /** Replaces the retired models that an engine holds. */
+    PlacementState withRetired(String target, PMap<String, Long> retired) {
+        PMap<String, PMap<String, Long>> changed =
+                retired.isEmpty() ? retiredSince.minus(target) : retiredSince.plus(target, retired);
+        return new PlacementState(
+                engines,
+                wishes,
+                reservations,
+                unanswered,
+                changed,
+                trend,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 
     PlacementState accrue(double loadsPerSecond, double burst, long nowMillis) {
@@ -98,6 +135,7 @@
                 wishes,
                 reservations,
                 unanswered,
+                retiredSince,
                 trend,
                 Math.min(burst, availableLoads + accrued),
                 nowMillis,
@@ -106,21 +144,53 @@
 
     PlacementState spendLoad() {
         return new PlacementState(
-                engines, wishes, reservations, unanswered, trend, availableLoads - 1, accruedAtMillis, plannedAtMillis);
+                engines,
+                wishes,
+                reservations,
+                unanswered,
+                retiredSince,
+                trend,
+                availableLoads - 1,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 
     private PlacementState withUnanswered(PMap<String, List<UnansweredOrder>> changed) {
         return new PlacementState(
-                engines, wishes, reservations, changed, trend, availableLoads, accruedAtMillis, plannedAtMillis);
+                engines,
+                wishes,
+                reservations,
+                changed,
+                retiredSince,
+                trend,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 
     private PlacementState withEngines(PMap<String, EngineState> changed) {
         return new PlacementState(
-                changed, wishes, reservations, unanswered, trend, availableLoads, accruedAtMillis, plannedAtMillis);
+                changed,
+                wishes,
+                reservations,
+                unanswered,
+                retiredSince,
+                trend,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 
     private PlacementState withWishes(PMap<AdapterWish.Id, AdapterWish> changed) {
         return new PlacementState(
-                engines, changed, reservations, unanswered, trend, availableLoads, accruedAtMillis, plannedAtMillis);
+                engines,
+                changed,
+                reservations,
+                unanswered,
+                retiredSince,
+                trend,
+                availableLoads,
+                accruedAtMillis,
+                plannedAtMillis);
     }
 }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaCosts.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaCosts.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jackdawbeam.model.fleet.EngineDefinition;
+import org.jackdawbeam.model.fleet.ModelDefinition;
 
 /** Estimates how many requests for a model miss their objective, depending on the number of replicas. */
 final class ReplicaCosts {
@@ -16,6 +17,7 @@
     private final Map<String, DemandEstimate> demand;
     private final PrefillStatistics statistics;
     private final Set<String> modelsAtHand;
+    private final long longestLoadMillis;
 
     /**
      * Prepares estimates.
@@ -32,6 +34,10 @@
         this.demand = demand;
         this.statistics = statistics;
         this.modelsAtHand = modelsAtHand;
+        this.longestLoadMillis = definition.models().values().stream()
+                .mapToLong(ModelDefinition::loadMillis)
+                .max()
+                .orElse(0);
     }
 
     /**
@@ -90,8 +96,10 @@
         return loadSeconds(model, modelsAtHand.contains(model));
     }
 
+    /** Returns the load time; for a model that the configuration does not have, the longest one of the service. */
     double loadSeconds(String model, boolean atHand) {
-        return definition.models().get(model).loadMillis(atHand) / MILLIS_PER_SECOND;
+        ModelDefinition known = definition.models().get(model);
+        return (known == null ? longestLoadMillis : known.loadMillis(atHand)) / MILLIS_PER_SECOND;
     }
 
     /** Assumes that each request waits for a load, as a displaced model is displaced again after each load. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaFlow.java
@@ -210,11 +210,12 @@
         }
         String model = engineState.changingModel().orElseThrow();
         ModelDefinition known = definition.models().get(model);
-        if (known == null) {
+        boolean unloading = target.unloading().contains(model);
+        if (known == null && !unloading) {
             return Double.POSITIVE_INFINITY;
         }
         boolean atHand = target.description().atHand().contains(model);
-        double neededMillis = target.unloading().contains(model) ? longRunMillis : known.loadMillis(atHand);
+        double neededMillis = unloading ? longRunMillis : known.loadMillis(atHand);
         double needed = neededMillis / MILLIS_PER_SECOND;
         double elapsed = (nowMillis - engineState.changedAtMillis()) / MILLIS_PER_SECOND;
         return elapsed > 2 * needed ? Double.POSITIVE_INFINITY : Math.max(ANSWER_SECONDS, needed - elapsed);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/ReplicaPlanner.java
@@ -332,7 +332,8 @@
         double queueing = (remainingCost - costs.cost(model, count, HORIZON_SECONDS))
                 * DISPLACEMENT_FACTOR
                 * underestimationFactor;
-        return count > 1 ? queueing : queueing + surgeCost(model, reloadSeconds);
+        boolean mayBeAskedFor = definition.models().containsKey(model);
+        return count > 1 || !mayBeAskedFor ? queueing : queueing + surgeCost(model, reloadSeconds);
     }
 
     /** Returns how many requests are expected to wait because the highest demand shifts to a model without replica. */
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/FleetFixture.java
@@ -1,6 +1,7 @@
 package org.jackdawbeam.logic.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -93,6 +94,29 @@
         return configuration(version, 1_000, megabytes, KEY);
     }
 
+    /** Returns a configuration that has a further model. */
+    static FleetConfiguration configurationWith(long version, String model) {
+        FleetConfiguration known = configuration(version, KEY);
+        EngineDefinition engine = known.engine("engines").orElseThrow();
+        Map<String, ModelDefinition> models = new HashMap<>(engine.models());
+        models.put(model, new ModelDefinition(model, 70_000, 1_200, 600, 400, 60));
+        EngineDefinition extended = new EngineDefinition(
+                engine.slots(),
+                engine.cacheTokens(),
+                engine.weightMegabytes(),
+                engine.adapterPlaces(),
+                engine.loadsPerSecond(),
+                Map.copyOf(models));
+        return FleetConfiguration.of(
+                version,
+                known.routesByHost().get("host"),
+                List.of(
+                        new ServiceDefinition("engines", 300, Optional.of(extended)),
+                        new ServiceDefinition("payments", 100, Optional.empty())),
+                known.limits(),
+                List.copyOf(known.workspaces().values()));
+    }
+
     private static FleetConfiguration configuration(long version, double rate, long megabytes, String... keys) {
         Workspace workspace = new Workspace("w", Set.of(keys), OptionalInt.empty(), rate, rate, true, 200);
         Map<String, ModelDefinition> models = Map.of(
