A step of a tick that fails no longer ends the other steps

A leader whose planning fails resigns, because what fails may be in its own state. Only the loop of an entry does so; the reducer throws for tests and searches as before, so that they still find such failures. placement_duty_lost names the reason of a resignation; it said "stop" also where an engine had fenced the leader.

Ruled out: a reducer that refuses states with unknown names, which are ordinary with three writers; processes that end.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetReducer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jackdawbeam.model.fleet.Feed;
 import org.jackdawbeam.model.fleet.FleetMessage;
 import org.jackdawbeam.model.fleet.QuarantineReport;
@@ -33,14 +34,26 @@
 
     /** Returns the state after the event and the effects to execute. */
     public Reduction apply(FleetState state, FleetEvent event) {
+        return apply(state, event, failure -> {
+            throw failure;
+        });
+    }
+
+    /**
+     * Returns the same, but a step of a tick that fails is left out.
+     *
+     * @param onFailure receives the exceptions of such steps
+     */
+    public Reduction apply(FleetState state, FleetEvent event, Consumer<RuntimeException> onFailure) {
         List<FleetEffect> effects = new ArrayList<>();
-        FleetState next = reduce(state, event, effects);
+        FleetState next = reduce(state, event, effects, onFailure);
         return new Reduction(next, effects);
     }
 
-    private FleetState reduce(FleetState state, FleetEvent event, List<FleetEffect> effects) {
+    private FleetState reduce(
+            FleetState state, FleetEvent event, List<FleetEffect> effects, Consumer<RuntimeException> onFailure) {
         return switch (event) {
-            case FleetEvent.Ticked ticked -> tick(state, ticked.nowMillis(), effects);
+            case FleetEvent.Ticked ticked -> tick(state, ticked.nowMillis(), effects, onFailure);
             case FleetEvent.Woken woken -> {
                 FleetState next = placement.tick(state, woken.nowMillis(), effects);
                 yield dispatch.tick(next, woken.nowMillis(), effects);
@@ -89,21 +102,26 @@
         };
     }
 
-    private FleetState tick(FleetState state, long nowMillis, List<FleetEffect> effects) {
-        FleetState next = feeds.tick(state, nowMillis, effects);
-        next = leadership.tick(next, nowMillis, effects);
-        next = warmUp.tick(next, nowMillis, effects);
-        next = modelWaits.tick(next, nowMillis);
-        next = peers.tick(next, nowMillis, effects);
-        next = hubs.tick(next, nowMillis, effects);
-        next = hubWork.tell(next, nowMillis, effects);
-        next = quota.tick(next, nowMillis);
-        next = quarantine.tick(next, nowMillis, effects);
-        next = requests.tick(next, nowMillis, effects);
-        next = dispatch.expire(next, nowMillis, effects);
-        next = placement.tick(next, nowMillis, effects);
-        next = dispatch.tick(next, nowMillis, effects);
-        return stop.tick(next, nowMillis, effects);
+    private FleetState tick(
+            FleetState state, long nowMillis, List<FleetEffect> effects, Consumer<RuntimeException> onFailure) {
+        return new TickSteps(state, effects, onFailure)
+                .then(next -> feeds.tick(next, nowMillis, effects))
+                .then(next -> leadership.tick(next, nowMillis, effects))
+                .then(next -> warmUp.tick(next, nowMillis, effects))
+                .then(next -> modelWaits.tick(next, nowMillis))
+                .then(next -> peers.tick(next, nowMillis, effects))
+                .then(next -> hubs.tick(next, nowMillis, effects))
+                .then(next -> hubWork.tell(next, nowMillis, effects))
+                .then(next -> quota.tick(next, nowMillis))
+                .then(next -> quarantine.tick(next, nowMillis, effects))
+                .then(next -> requests.tick(next, nowMillis, effects))
+                .then(next -> dispatch.expire(next, nowMillis, effects))
+                .then(
+                        next -> placement.tick(next, nowMillis, effects),
+                        next -> LeadershipFlow.resign(next, "planning failed", effects))
+                .then(next -> dispatch.tick(next, nowMillis, effects))
+                .then(next -> stop.tick(next, nowMillis, effects))
+                .end();
     }
 
     private FleetState onPeer(FleetState state, long nowMillis, FleetMessage message, List<FleetEffect> effects) {
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/LeadershipFlow.java
@@ -111,11 +111,11 @@
     }
 
     /** Resigns as leader; the successor still waits for the required gap between two leaders. */
-    static FleetState resign(FleetState state, List<FleetEffect> effects) {
+    static FleetState resign(FleetState state, String reason, List<FleetEffect> effects) {
         if (state.leadership().fencingToken().isEmpty()) {
             return state;
         }
-        effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", "stop"));
+        effects.add(FleetEffect.Note.of("placement_duty_lost", "reason", reason));
         Leadership leadership = state.leadership();
         return state.with(new Leadership(
                 leadership.observedEnd(),
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/PlacementFlow.java
@@ -151,6 +151,7 @@
                 LeadershipFlow.resign(
                         state.with(state.placement()
                                 .with(order.target(), engineState.withAnswer(OptionalLong.empty(), nowMillis))),
+                        "fenced by an engine",
                         effects);
         };
     }
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/StopFlow.java
@@ -45,7 +45,7 @@
         }
         effects.add(FleetEffect.Note.of(
                 "stop_requested", "open_requests", state.requests().size()));
-        FleetState leaving = LeadershipFlow.resign(state.with(new StopStage.Leaving(nowMillis)), effects);
+        FleetState leaving = LeadershipFlow.resign(state.with(new StopStage.Leaving(nowMillis)), "stop", effects);
         return peers.sendDigest(leaving, nowMillis, effects);
     }
 
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/FleetLoop.java
@@ -112,11 +112,11 @@
         thread.schedule(() -> submit(new FleetEvent.Woken(nowMillis())), delayMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Processes an event. A failure affects only its event or effect, and a failed effect reports its failure. */
+    /** Processes an event. A failure affects only its event, step of a tick, or effect; a failed effect reports it. */
     private void apply(FleetEvent event) {
         Reduction reduction;
         try {
-            reduction = reducer.apply(state, event);
+            reduction = reducer.apply(state, event, failure -> reportFailure(event, failure));
         } catch (RuntimeException | Error e) {
             reportFailure(event, e);
             return;
