The search for broken invariants changes what versions of the configuration have

No test dropped a model, a route, a service or a workspace while engines, requests and orders still named it.

--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetFaultInjector.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetFaultInjector.java
@@ -16,6 +16,7 @@
     private static final double MAX_REWRITE_DELAY_MILLIS = 1_500; // operators react quickly to a restored store
     private static final double EXPIRY_MILLIS = 3_600; // three heartbeat intervals of an engine
     private static final double MEAN_EVACUATION_MILLIS = 8_000;
+    private static final double MEAN_VERSION_MILLIS = 5_000;
     private static final int FAULT_KINDS = 12;
 
     private final EventQueue queue;
@@ -25,6 +26,7 @@
     private final Random random;
     private final double endMillis;
     private long version = 1;
+    private VersionContents contents = VersionContents.all();
 
     FleetFaultInjector(
             EventQueue queue,
@@ -83,6 +85,17 @@
         });
     }
 
+    /** Writes versions that lack models, routes, services or workspaces; the last one, after all failures, has all. */
+    void startVersions(Random versions) {
+        queue.after(versions.nextDouble() * 2 * MEAN_VERSION_MILLIS, () -> {
+            if (queue.nowMillis() < endMillis) {
+                contents = VersionContents.draw(versions);
+                changeKey();
+                startVersions(versions);
+            }
+        });
+    }
+
     /** Removes engines that a restored copy lists but that no longer exist and so cannot deregister themselves. */
     private void removeExpiredTargets() {
         List<String> alive = targets.engines().stream()
@@ -163,6 +176,10 @@
             member.start();
         }
         targets.engines().stream().filter(SimulatedEngine::isLeaving).forEach(this::replaceEngine);
+        if (!contents.equals(VersionContents.all())) {
+            contents = VersionContents.all();
+            changeKey();
+        }
     }
 
     void announce(SimulatedEngine engine) {
@@ -197,7 +214,7 @@
         fleet.store()
                 .write(
                         Feed.CONFIGURATION,
-                        new FeedEntry.Configuration(FleetSearchSite.configuration(version, key(version))));
+                        new FeedEntry.Configuration(FleetSearchSite.configuration(version, key(version), contents)));
     }
 
     private <T> T pickAny(List<T> items) {
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchCommand.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchCommand.java
@@ -23,6 +23,9 @@
     @Option(names = "--evacuations", description = "Evacuates the zone of an engine and takes it back.")
     private boolean evacuations;
 
+    @Option(names = "--versions", description = "Drops models, routes, services and workspaces and brings them back.")
+    private boolean versions;
+
     @Override
     public Integer call() {
         long failed = 0;
@@ -43,6 +46,9 @@
         if (evacuations) {
             return FleetSearchRun.runWithEvacuations(seed);
         }
+        if (versions) {
+            return FleetSearchRun.runWithVersions(seed);
+        }
         return olderCopies ? FleetSearchRun.runWithOlderCopies(seed) : FleetSearchRun.run(seed);
     }
 }
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchRun.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchRun.java
@@ -27,6 +27,7 @@
     private final Random random;
     private final Optional<Random> restores;
     private final Optional<Random> evacuations;
+    private final Optional<Random> versions;
     private final FleetInvariantChecker checker;
     private final SimulatedTargets targets;
     private final FleetSimulation fleet;
@@ -42,11 +43,13 @@
             boolean enginesCheckTokens,
             boolean entriesRelyOnIt,
             boolean storeComesBackOlder,
-            boolean evacuates) {
+            boolean evacuates,
+            boolean changesVersions) {
         this.random = new Random(seed);
         // A separate source keeps the other failures of a seed the same with and without restores.
         this.restores = storeComesBackOlder ? Optional.of(new Random(-seed)) : Optional.empty();
         this.evacuations = evacuates ? Optional.of(new Random(~seed)) : Optional.empty();
+        this.versions = changesVersions ? Optional.of(new Random(seed + (1L << 40))) : Optional.empty();
         this.checker = new FleetInvariantChecker(queue::nowMillis, FleetSearchSite.LIMITED_RATE);
         this.targets = new SimulatedTargets(queue, random, checker);
         this.fleet = new FleetSimulation(queue, random, targets, checker::refused);
@@ -75,7 +78,7 @@
     /** Performs a run in which the store is restored from older copies at random times. */
     public static Result runWithOlderCopies(long seed) {
         boolean checked = seed % 2 == 0;
-        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, true, false);
+        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, true, false, false);
         run.perform();
         return new Result(seed, run.checker.completed(), run.checker.violations());
     }
@@ -83,7 +86,15 @@
     /** Performs a run in which the zone of one engine is evacuated and taken back at random times. */
     public static Result runWithEvacuations(long seed) {
         boolean checked = seed % 2 == 0;
-        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, false, true);
+        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, false, true, false);
+        run.perform();
+        return new Result(seed, run.checker.completed(), run.checker.violations());
+    }
+
+    /** Performs a run in which versions drop models, routes, services and workspaces and bring them back. */
+    public static Result runWithVersions(long seed) {
+        boolean checked = seed % 2 == 0;
+        FleetSearchRun run = new FleetSearchRun(seed, checked, checked, false, false, true);
         run.perform();
         return new Result(seed, run.checker.completed(), run.checker.violations());
     }
@@ -95,7 +106,7 @@
      * @param entriesRelyOnIt whether entries are configured to rely on this check
      */
     static Result run(long seed, boolean enginesCheckTokens, boolean entriesRelyOnIt) {
-        FleetSearchRun run = new FleetSearchRun(seed, enginesCheckTokens, entriesRelyOnIt, false, false);
+        FleetSearchRun run = new FleetSearchRun(seed, enginesCheckTokens, entriesRelyOnIt, false, false, false);
         run.perform();
         return new Result(seed, run.checker.completed(), run.checker.violations());
     }
@@ -111,6 +122,7 @@
         faults.start();
         restores.ifPresent(faults::startRestores);
         evacuations.ifPresent(faults::startEvacuations);
+        versions.ifPresent(faults::startVersions);
         queue.every(ARRIVAL_MILLIS, this::arrive);
         queue.runUntil(CHAOS_MILLIS);
         faults.heal();
--- a/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
+++ b/jackdawbeam-bench/src/main/java/org/jackdawbeam/bench/fleet/FleetSearchSite.java
@@ -1,5 +1,6 @@
 package org.jackdawbeam.bench.fleet;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -7,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.jackdawbeam.model.fleet.CallerLimits;
 import org.jackdawbeam.model.fleet.CallerRequest;
 import org.jackdawbeam.model.fleet.EngineDefinition;
@@ -32,7 +34,8 @@
     static final double LIMITED_RATE = 1_000;
     static final List<String> MODELS = List.of("m1", "m2", "m3", "m4", "m5", "m6");
     static final List<String> ADAPTERS = List.of("a1", "a2", "a3");
-    static final EngineDefinition ENGINE = engine();
+    static final List<String> ROUTES = List.of("chat", "letter", "pay", "read");
+    static final EngineDefinition ENGINE = engine(MODELS);
 
     private static final double REQUEST_UNITS = 200;
     private static final String SEPARATOR = "|";
@@ -46,20 +49,33 @@
 
     /** Returns a configuration whose unlimited workspace has a permanent key and one that changes per version. */
     static FleetConfiguration configuration(long version, String changingKey) {
-        return FleetConfiguration.of(
-                version,
-                List.of(
+        return configuration(version, changingKey, VersionContents.all());
+    }
+
+    /** Returns the same with a part of the deployment only. */
+    static FleetConfiguration configuration(long version, String changingKey, VersionContents contents) {
+        List<Route> routes = Stream.of(
                         route("chat", RouteKind.STREAMING, false, ENGINES),
                         route("letter", RouteKind.STREAMING, true, ENGINES),
                         route("pay", RouteKind.UNSAFE, false, SERVICE),
-                        route("read", RouteKind.SAFE, false, SERVICE)),
-                List.of(
-                        new ServiceDefinition(ENGINES, 300, Optional.of(ENGINE)),
-                        new ServiceDefinition(SERVICE, 100, Optional.empty())),
-                CallerLimits.defaults(),
-                List.of(
+                        route("read", RouteKind.SAFE, false, SERVICE))
+                .filter(route -> contents.routes().contains(route.name()))
+                .toList();
+        Optional<EngineDefinition> engine =
+                contents.placesModels() ? Optional.of(engine(contents.models())) : Optional.empty();
+        List<ServiceDefinition> services = Stream.of(
+                        new ServiceDefinition(ENGINES, 300, engine),
+                        new ServiceDefinition(SERVICE, 100, Optional.empty()))
+                .filter(service -> routes.stream()
+                        .anyMatch(route -> route.services().getFirst().service().equals(service.name())))
+                .toList();
+        List<Workspace> workspaces = Stream.of(
                         workspace("w", Set.of(KEY, changingKey), 1e9),
-                        workspace("l", Set.of(LIMITED_KEY), LIMITED_RATE)));
+                        workspace("l", Set.of(LIMITED_KEY), LIMITED_RATE))
+                .filter(workspace ->
+                        contents.limitedWorkspace() || !workspace.name().equals("l"))
+                .toList();
+        return FleetConfiguration.of(version, routes, services, CallerLimits.defaults(), workspaces);
     }
 
     static TargetDescription engine(String id, String zone, Set<String> models) {
@@ -98,9 +114,9 @@
         return engine.holds(parts[1], Optional.of(parts[2]).filter(name -> !name.isEmpty()));
     }
 
-    private static EngineDefinition engine() {
+    private static EngineDefinition engine(Collection<String> names) {
         Map<String, ModelDefinition> models = new HashMap<>();
-        MODELS.forEach(name -> models.put(name, new ModelDefinition(name, 70_000, 1_200, 600, 400, 60)));
+        names.forEach(name -> models.put(name, new ModelDefinition(name, 70_000, 1_200, 600, 400, 60)));
         return new EngineDefinition(64, 160_000, 200_000, 2, 2.4, Map.copyOf(models));
     }
 
--- a/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/FleetSearchRunTest.java
+++ b/jackdawbeam-bench/src/test/java/org/jackdawbeam/bench/fleet/FleetSearchRunTest.java
@@ -42,6 +42,16 @@
         assertThat(result.completed()).isGreaterThan(200);
     }
 
+    // Guards against planning that fails while an engine holds a model that the configuration no longer has.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void invariantsHoldWhileVersionsDropModelsAndServicesAndBringThemBack(long seed) {
+        FleetSearchRun.Result result = FleetSearchRun.runWithVersions(seed);
+
+        assertThat(result.violations()).isEmpty();
+        assertThat(result.completed()).isGreaterThan(200);
+    }
+
     @Test
     void handoverGapIsViolatedIfEntriesWronglyRelyOnFencingByEngines() {
         Set<FleetInvariant> broken = new HashSet<>();
