--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/entry/EntryServer.java
@@ -90,7 +90,7 @@
                 onExit);
         loop.start(effects);
         this.peerServer =
-                PeerServer.start(group, addresses.peers(), messagePack, PeerMessage.class, this::onPeerMessage);
+                PeerServer.start(group, addresses.peers(), messagePack, PeerMessage.class, clock, this::onPeerMessage);
         CallerRequestHandler callers =
                 new CallerRequestHandler(loop, requests, clock, options.timings(), json, tracing);
         this.callerServer = HttpServer.start(group, addresses.callers(), limits, callers);
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/peer/PeerServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -17,6 +18,7 @@
 import org.jackdawbeam.logic.budget.Holding;
 import org.jackdawbeam.model.error.ErrorCode;
 import org.jackdawbeam.model.error.JackdawbeamException;
+import org.jackdawbeam.model.time.MonotonicClock;
 import org.jackdawbeam.net.budget.ConnectionBudget;
 import org.jackdawbeam.net.budget.HeldAccount;
 import org.jackdawbeam.net.codec.MessageMapper;
@@ -24,10 +26,13 @@
 
 /**
  * Receives messages from other entries. A frame with an invalid length closes its connection; a message that cannot be
- * decoded, such as one of a kind that only newer builds know, is skipped.
+ * decoded, such as one of a kind that only newer builds know, is skipped. Messages are acknowledged at intervals by an
+ * empty frame, so that the sender notices a connection that has gone silent.
  */
 public final class PeerServer implements AutoCloseable {
     private static final long READ_TIMEOUT_MILLIS = 30_000;
+    /** Shorter than the time after which senders expect to be acknowledged at once. */
+    private static final long ACKNOWLEDGEMENT_INTERVAL_MILLIS = 900;
 
     private final Channel channel;
 
@@ -45,8 +50,9 @@
             InetSocketAddress address,
             MessageMapper mapper,
             Class<M> messageType,
+            MonotonicClock clock,
             Consumer<M> receiver) {
-        return start(group, address, mapper, messageType, ConnectionBudget.unlimited(), receiver);
+        return start(group, address, mapper, messageType, ConnectionBudget.unlimited(), clock, receiver);
     }
 
     /**
@@ -60,6 +66,7 @@
             MessageMapper mapper,
             Class<M> messageType,
             ConnectionBudget budget,
+            MonotonicClock clock,
             Consumer<M> receiver) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
@@ -72,7 +79,7 @@
                                 budget.open(phase -> child.eventLoop().execute(child::close));
                         child.pipeline().addLast(new FrameAccount(account));
                         PeerFrames.addTo(child.pipeline());
-                        child.pipeline().addLast(new Receiver<>(mapper, messageType, account, receiver));
+                        child.pipeline().addLast(new Receiver<>(mapper, messageType, account, clock, receiver));
                     }
                 });
         try {
@@ -96,13 +103,21 @@
         private final MessageMapper mapper;
         private final Class<M> messageType;
         private final HeldAccount account;
+        private final MonotonicClock clock;
         private final Consumer<M> consumer;
+        private long acknowledgedAtMillis = Long.MIN_VALUE / 2;
         private long skipped;
 
-        Receiver(MessageMapper mapper, Class<M> messageType, HeldAccount account, Consumer<M> consumer) {
+        Receiver(
+                MessageMapper mapper,
+                Class<M> messageType,
+                HeldAccount account,
+                MonotonicClock clock,
+                Consumer<M> consumer) {
             this.mapper = mapper;
             this.messageType = messageType;
             this.account = account;
+            this.clock = clock;
             this.consumer = consumer;
         }
 
@@ -118,10 +133,20 @@
                 skip(context, bytes.length, e);
                 return;
             }
+            acknowledge(context);
             account.begin(Holding.Phase.ANSWERING); // an entry is not closed for being idle
             consumer.accept(message);
         }
 
+        private void acknowledge(ChannelHandlerContext context) {
+            long nowMillis = clock.nowMillis();
+            if (nowMillis - acknowledgedAtMillis >= ACKNOWLEDGEMENT_INTERVAL_MILLIS
+                    && context.channel().isWritable()) {
+                acknowledgedAtMillis = nowMillis;
+                context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+            }
+        }
+
         /** Logs the first skipped message of a connection; the line at its end tells how many there were. */
         private void skip(ChannelHandlerContext context, int length, JackdawbeamException failure) {
             skipped++;
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerConnectionsTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerConnectionsTest.java
@@ -79,6 +79,63 @@
         assertThat(accepted.poll(300, TimeUnit.MILLISECONDS)).isNull();
     }
 
+    // Guards against a connection that is silent one way while the peer's messages arrive on one of its own.
+    @Test
+    void connectionWhoseMessagesAreNoLongerAcknowledgedIsReplaced() throws Exception {
+        connections.send(address, MESSAGE);
+        Socket first = accepted.poll(5, TimeUnit.SECONDS);
+        acknowledge(first);
+        nowMillis.addAndGet(1_000);
+        connections.send(address, MESSAGE);
+        nowMillis.addAndGet(2_001);
+        connections.messageReceived(address);
+
+        connections.send(address, MESSAGE);
+
+        assertThat(accepted.poll(5, TimeUnit.SECONDS)).isNotNull();
+    }
+
+    @Test
+    void connectionThatIsUsedRarelyIsKept() throws Exception {
+        connections.send(address, MESSAGE);
+        acknowledge(accepted.poll(5, TimeUnit.SECONDS));
+        connections.send(address, MESSAGE);
+        nowMillis.addAndGet(60_000);
+
+        connections.send(address, MESSAGE);
+
+        assertThat(accepted.poll(300, TimeUnit.MILLISECONDS)).isNull();
+    }
+
+    // Guards against replacing the connections to a peer whose older build acknowledges nothing again and again.
+    @Test
+    void peerThatNoLongerAcknowledgesIsKnownByItsMessages() throws Exception {
+        connections.send(address, MESSAGE);
+        acknowledge(accepted.poll(5, TimeUnit.SECONDS));
+        nowMillis.addAndGet(1_000);
+        connections.send(address, MESSAGE);
+        for (int replaced = 0; replaced < 2; replaced++) {
+            nowMillis.addAndGet(2_001);
+            connections.send(address, MESSAGE);
+            assertThat(accepted.poll(5, TimeUnit.SECONDS).getInputStream().read())
+                    .isNotNegative();
+        }
+        nowMillis.addAndGet(1_999);
+        connections.messageReceived(address);
+        nowMillis.addAndGet(1_999);
+
+        connections.send(address, MESSAGE);
+
+        assertThat(accepted.poll(300, TimeUnit.MILLISECONDS)).isNull();
+    }
+
+    /** Sends the empty frame that acknowledges messages. */
+    private static void acknowledge(Socket socket) throws Exception {
+        assertThat(socket.getInputStream().read()).isNotNegative();
+        socket.getOutputStream().write(new byte[4]);
+        TimeUnit.MILLISECONDS.sleep(200); // until the client has read it
+    }
+
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerServerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/peer/PeerServerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jackdawbeam.model.member.Member;
 import org.jackdawbeam.model.peer.PeerMessage;
 import org.jackdawbeam.net.codec.MessageMapper;
@@ -29,11 +30,13 @@
     private final MessageMapper mapper = MessageMapper.messagePack();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+    private final AtomicLong nowMillis = new AtomicLong();
     private final PeerServer server = PeerServer.start(
             group,
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
             mapper,
             PeerMessage.class,
+            nowMillis::get,
             received::add);
 
     @AfterEach
@@ -58,6 +61,25 @@
         }
     }
 
+    @Test
+    void messageIsAcknowledgedUnlessOneWasJustBefore() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+            DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+            socket.setSoTimeout(OPEN_MILLIS);
+            writeFrame(output, mapper.write(MESSAGE));
+            assertThat(socket.getInputStream().readNBytes(4)).containsOnly(0);
+            nowMillis.addAndGet(899);
+            writeFrame(output, mapper.write(MESSAGE));
+            assertThatExceptionOfType(SocketTimeoutException.class)
+                    .isThrownBy(() -> socket.getInputStream().read());
+
+            nowMillis.addAndGet(1);
+            writeFrame(output, mapper.write(MESSAGE));
+
+            assertThat(socket.getInputStream().readNBytes(4)).containsOnly(0);
+        }
+    }
+
     private static void writeFrame(DataOutputStream output, byte[] bytes) throws IOException {
         output.writeInt(bytes.length);
         output.write(bytes);
