Entries without a hub read the target list and the configuration in time

Cause: an entry without a hub read both only when they were 2.5 s old, more than drainMs and configApplyMs. A newly chosen hub counted as heard at the time of the choice, so that a row of dead hubs never counted as a silence.

Change: the silence counts from the latest message of any hub, the wait for a new hub from its choice. Without a hub the target list and the configuration are read when they are 0.9 s old. A change of hubs that goes well makes no more calls.

Tests: HubFlowTest.entryWithoutAHubReadsTargetsAndConfigurationInTime fails before (3,350 ms between reads, 1,700 allowed) and passes.

Open: machines that are gone stay hub candidates and count as members for 12 s.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/FleetTimings.java
@@ -43,6 +43,8 @@
     static final long READER_CONFIGURATION_WAIT = 500;
     /** Age of the latest read after which an entry reads from the store itself although it has a hub. */
     static final long DIRECT_READ_AGE = 2_500;
+    /** The same while no hub has been heard from: an entry must learn of changes well within two seconds. */
+    static final long READ_AGE_WITHOUT_HUB = 900;
     /** How long an unresponsive hub is excluded from selection. */
     static final long HUB_EXCLUSION = 5_000;
     /** Number of missed heartbeats after which a peer counts as dead. */
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubFlow.java
@@ -187,9 +187,13 @@
         }
         boolean hubIsSilent = nowMillis - state.hub().heardAtMillis() > hubTimeoutMillis();
         return switch (feed) {
-            case CONFIGURATION -> state.hub().behind() || !progress.isFresh(nowMillis, FleetTimings.DIRECT_READ_AGE);
+            case CONFIGURATION -> {
+                long age = hubIsSilent ? FleetTimings.READ_AGE_WITHOUT_HUB : FleetTimings.DIRECT_READ_AGE;
+                yield state.hub().behind() || !progress.isFresh(nowMillis, age);
+            }
             case QUARANTINE -> false;
-            case TARGETS, MEMBERS -> hubIsSilent && !progress.isFresh(nowMillis, FleetTimings.DIRECT_READ_AGE);
+            case TARGETS -> hubIsSilent && !progress.isFresh(nowMillis, FleetTimings.READ_AGE_WITHOUT_HUB);
+            case MEMBERS -> hubIsSilent && !progress.isFresh(nowMillis, FleetTimings.DIRECT_READ_AGE);
         };
     }
 
@@ -203,7 +207,7 @@
         HubState hub = state.hub();
         boolean silent = hub.id().isPresent()
                 && !hub.id().get().equals(state.self().id())
-                && nowMillis - hub.heardAtMillis() > hubTimeoutMillis();
+                && nowMillis - Math.max(hub.heardAtMillis(), hub.sinceMillis()) > hubTimeoutMillis();
         FleetState next = silent
                 ? state.with(hub.withExcludedHub(hub.id().get(), nowMillis + FleetTimings.HUB_EXCLUSION))
                 : state;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/fleet/HubState.java
@@ -19,7 +19,7 @@
  *
  * @param id the hub that this entry reports to, possibly itself
  * @param sinceMillis when this entry chose that hub
- * @param heardAtMillis when the latest message of that hub arrived
+ * @param heardAtMillis when the latest message of that hub, or of a former one, arrived
  * @param excludedUntil unresponsive hubs and the times until which they are excluded from selection
  * @param group latest heartbeats of the entries that report to this one
  * @param groups latest digests of other hubs
@@ -100,7 +100,7 @@
         return new HubState(
                 Optional.of(hub),
                 nowMillis,
-                nowMillis,
+                heardAtMillis,
                 excludedUntil,
                 group,
                 groups,
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/logic/fleet/HubFlowTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -19,6 +23,10 @@
 class HubFlowTest {
     private static final int MEMBERS = 30;
     private static final String HUB = "m29";
+    private static final long TICK_MILLIS = 50;
+    /** Time within which a change must be known, less that for an answer of the store. */
+    private static final long CHANGES_KNOWN_MILLIS = 1_700;
+
     private final FleetFixture fixture = FleetFixture.serving(FleetFixture.engine("e1", "m1"));
 
     HubFlowTest() {
@@ -63,6 +71,29 @@
         assertThat(heartbeatReceivers()).containsExactly("m28:1");
     }
 
+    // Guards against entries that learn of changes too late while one hub candidate after the other is gone.
+    @Test
+    void entryWithoutAHubReadsTargetsAndConfigurationInTime() {
+        Map<Feed, Long> readAt =
+                new EnumMap<>(Map.of(Feed.TARGETS, fixture.nowMillis, Feed.CONFIGURATION, fixture.nowMillis));
+        readAt.keySet().forEach(feed -> fixture.read(feed, fixture.nowMillis));
+        long longest = 0;
+        for (long passed = 0; passed < 10_000; passed += TICK_MILLIS) {
+            fixture.advance(TICK_MILLIS);
+            Deque<FleetEffect.ReadFeed> reads = new ArrayDeque<>(fixture.all(FleetEffect.ReadFeed.class));
+            while (!reads.isEmpty()) {
+                Feed feed = reads.remove().feed();
+                Long before = readAt.replace(feed, fixture.nowMillis);
+                longest = before == null ? longest : Math.max(longest, fixture.nowMillis - before);
+                fixture.read(feed, fixture.nowMillis);
+                reads.addAll(fixture.all(FleetEffect.ReadFeed.class));
+            }
+        }
+
+        assertThat(longest).as("longest time between reads").isBetween(1L, CHANGES_KNOWN_MILLIS);
+        assertThat(readAt.values()).allMatch(last -> fixture.nowMillis - last <= CHANGES_KNOWN_MILLIS);
+    }
+
     @Test
     void respondingHubIsKept() {
         for (int interval = 0; interval < 5; interval++) {
