Answers without a valid status fail as malformed

Cause: the HTTP decoder takes any integer for a status. As a number 0200 is 200 and 000 is 0, so that no later check can tell. Control calls share the decoder: 0200, 0409 and 0412 counted as their numbers.

Change: ResponseCodec checks the status as text before it becomes a number: three digits, 100 to 599. Any other head is a failed message of the decoder, as other malformed heads are: the attempt ends as MALFORMED_ANSWER, its connection is closed, and an unsafe request gets 502 and is not sent again. The search for a second status line, within a head or a body, takes any number for a status; it knew only those of three digits or more, so that the status of a first answer could come with the seal of a second one whose status was 0.

Ruled out: a check of the decoded head, which has the number only; a scan of raw lines before the decoder, which would need its own framing to tell heads from bodies.

Tests, on the code before and with the change: MalformedHeadTest (21 status lines on four kinds of route, each whole and cut at each byte) 66 of 121 fail, 0; AttemptHandlerTest 7 of 17, 0; BufferedHttpClientTest 8 of 17, 0; ResponseCodecTest 3 of 27, 0; EmbeddedHeadFinderTest 2 of 19, 0. Passing before: -200, 2x0, no status, the nine valid heads, and a stream whose next part has status 000, which is broken off.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinder.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinder.java
@@ -13,7 +13,7 @@
 final class EmbeddedHeadFinder {
     private static final String START = "HTTP/";
     private static final Pattern STATUS_LINE =
-            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[0-9]{3,}(\\s.*)?", Pattern.DOTALL);
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[+-]?[0-9]+(\\s.*)?", Pattern.DOTALL);
     private static final int MAXIMUM_HEAD_BYTES = 8_192; // as much as the codec accepts for a head
 
     private final BiPredicate<String, String> namesCarriedRequest;
--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -21,13 +21,16 @@
 
 /**
  * HTTP codec for connections that carry one request at a time to servers that may send more than one response to it. It
- * tells whether bytes have been received beyond the end of a response, and rejects a head that consists of two: the
- * beginning of a response that was cut off, and the head of the next one.
+ * tells whether bytes have been received beyond the end of a response, and rejects a head without a valid status and one
+ * that consists of two: the beginning of a response that was cut off, and the head of the next one.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
-    /** The beginning of a status line as the decoder accepts it; it decodes heads to ISO 8859-1. */
+    /** The beginning of a status line with any number for a status; heads are decoded to ISO 8859-1. */
     private static final Pattern STATUS_LINE =
-            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[0-9]{3,}(\\s|$)", Pattern.CASE_INSENSITIVE);
+            Pattern.compile("HTTP/[0-9]+\\.[0-9]+\\s+[+-]?[0-9]+(\\s|$)", Pattern.CASE_INSENSITIVE);
+
+    /** RFC 9110, section 15. */
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
     private final Decoder decoder = new Decoder();
 
@@ -83,6 +86,16 @@
             }
         }
 
+        /** Checks the status as text, because its number hides a sign and leading zeros. */
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
+            String status = statusLine[1];
+            if (!STATUS_CODE.matcher(status).matches()) {
+                throw new IllegalArgumentException("status \"" + status + "\" is not a number from 100 to 599");
+            }
+            return super.createMessage(statusLine);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return headRequest || super.isContentAlwaysEmpty(message);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinderTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/EmbeddedHeadFinderTest.java
@@ -29,7 +29,10 @@
                 "HTTP/1.1 200 OK\r\nseal: s\r\n" + HEAD,
                 "HTTP/1.1 200 OK\r\nseal: s" + HEAD,
                 "HTTP/1.1 100 Continue\r\n\r\n" + HEAD,
-                "HTTP/1.1  500 Błąd\r\nseal: s\r\n folded\r\nid: a1\r\n"
+                "HTTP/1.1  500 Błąd\r\nseal: s\r\n folded\r\nid: a1\r\n",
+                "HTTP/1.1 000 Unknown\r\nid: a1\r\n",
+                "HTTP/1.1 0 Unknown\r\nid: a1\r\n",
+                "HTTP/1.1 +200 OK\r\nid: a1\r\n"
             })
     void headThatNamesACarriedRequestIsFound(String body) {
         assertThat(add(body)).isTrue();
--- /dev/null
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MalformedHeadTest.java
@@ -0,0 +1,227 @@
+package org.jackdawbeam.net.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.jackdawbeam.logic.fleet.FleetEvent;
+import org.jackdawbeam.model.fleet.CallerLimits;
+import org.jackdawbeam.model.fleet.Feed;
+import org.jackdawbeam.model.fleet.FeedEntry;
+import org.jackdawbeam.model.fleet.FleetConfiguration;
+import org.jackdawbeam.model.fleet.Route;
+import org.jackdawbeam.model.fleet.RouteKind;
+import org.jackdawbeam.model.fleet.ServiceDefinition;
+import org.jackdawbeam.model.fleet.WeightedService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Targets whose answers have a head that is no valid HTTP, sent in one piece and cut in two at each byte. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class MalformedHeadTest extends RelayHarness {
+    private static final String FIELDS = "\r\nid: ID\r\nseal: s\r\ncontent-length: 15\r\n\r\n";
+    private static final String BODY = "id: 1\ndata: a\n\n";
+    private static final int ATTEMPTS = 3;
+    private static final int CALLERS = 6;
+
+    private static final List<String> INVALID_STATUS_LINES = List.of(
+            "HTTP/1.1 000 Unknown",
+            "HTTP/1.1 000",
+            "HTTP/1.1 000 Unknown\r\nnot-executed: 1",
+            "HTTP/1.1 000 Unknown\r\nid: ID\r\nseal: s\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200 OK",
+            "HTTP/1.1 0 Unknown",
+            "HTTP/1.1 00 Unknown",
+            "HTTP/1.1 99 Unknown",
+            "HTTP/1.1 099 Unknown",
+            "HTTP/1.1 20 OK",
+            "HTTP/1.1 2 00",
+            "HTTP/1.1 1000 Unknown",
+            "HTTP/1.1 2000 OK",
+            "HTTP/1.1 0200 OK",
+            "HTTP/1.1 00200 OK",
+            "HTTP/1.1 +200 OK",
+            "HTTP/1.1 -200 OK",
+            "HTTP/1.1 2x0 OK",
+            "HTTP/1.1 OK",
+            "HTTP/1.1",
+            "HTTP/1.1 600 Unknown",
+            "HTTP/1.1 999 Unknown");
+
+    private static final List<String> VALID_HEADS = List.of(
+            "HTTP/1.1 200 OK" + FIELDS,
+            "HTTP/1.1 200" + FIELDS,
+            "HTTP/1.1 200 " + FIELDS,
+            "HTTP/1.1 299 Unusual" + FIELDS,
+            "HTTP/1.1 204 No Content\r\nid: ID\r\nseal: s\r\n\r\n",
+            "HTTP/1.1 205 Reset Content\r\nid: ID\r\nseal: s\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 304 Not Modified\r\nid: ID\r\nseal: s\r\n\r\n",
+            "HTTP/1.1 418 Unusual" + FIELDS,
+            "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK" + FIELDS);
+
+    private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final Queue<String> wrong = new ConcurrentLinkedQueue<>();
+
+    private enum TestRoute {
+        UNSAFE(RouteKind.UNSAFE, false),
+        STREAM(RouteKind.STREAMING, false),
+        RESUMABLE_STREAM(RouteKind.STREAMING, true),
+        SAFE(RouteKind.SAFE, false);
+
+        private final RouteKind kind;
+        private final boolean resumable;
+
+        TestRoute(RouteKind kind, boolean resumable) {
+            this.kind = kind;
+            this.resumable = resumable;
+        }
+
+        private boolean isRepeatable() {
+            return kind == RouteKind.SAFE || resumable;
+        }
+    }
+
+    static Stream<Arguments> invalidStatusLines() {
+        return onEachRoute(INVALID_STATUS_LINES.stream().map(line -> line + FIELDS));
+    }
+
+    static Stream<Arguments> validHeads() {
+        return onEachRoute(VALID_HEADS.stream());
+    }
+
+    private static Stream<Arguments> onEachRoute(Stream<String> heads) {
+        return heads.map(head -> head + (head.contains("content-length: 15") ? BODY : ""))
+                .flatMap(answer -> Stream.of(TestRoute.values()).map(route -> Arguments.of(route, answer)));
+    }
+
+    // Guards against a status such as 000, which callers got as an answer.
+    @ParameterizedTest
+    @MethodSource("invalidStatusLines")
+    void answerWithoutAValidStatusIsAFailure(TestRoute route, String answer) throws Exception {
+        assertHeld(route, answer);
+    }
+
+    @ParameterizedTest
+    @MethodSource("validHeads")
+    void answerWithAValidHeadIsRelayed(TestRoute route, String answer) throws Exception {
+        String status = answer.substring(answer.lastIndexOf("HTTP/1.1 ")).substring(0, "HTTP/1.1 200".length());
+        boolean hasBody = answer.endsWith(BODY);
+
+        callWithEachCut(route, answer, (id, received) -> {
+            boolean relayed = received.startsWith(status)
+                    && received.contains("seal: s\r\n")
+                    && received.contains("\r\n" + (hasBody ? BODY : ""));
+            return relayed && executions.get(id).get() == 1;
+        });
+
+        assertThat(wrong).isEmpty();
+    }
+
+    // Guards against a stream that looks complete, or goes on with another head, where its next part is malformed.
+    @Test
+    void streamWhoseNextPartHasNoValidStatusIsBrokenOff() throws Exception {
+        assertBrokenOff("HTTP/1.1 000 Unknown" + FIELDS);
+    }
+
+    private void assertBrokenOff(String nextPart) throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        start(RouteKind.STREAMING, true, (socket, id, number) -> {
+            if (attempts.incrementAndGet() == 1) {
+                send(socket, "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\n\r\n" + BODY);
+                sleep();
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            send(socket, nextPart.replace("ID", id) + "id: 2\ndata: b\n\n");
+        });
+
+        String received = call("1");
+
+        assertThat(attempts).hasValueGreaterThan(1);
+        assertThat(received).contains("data: a").doesNotContain("data: b").doesNotContain("\r\n0\r\n");
+    }
+
+    private void assertHeld(TestRoute route, String answer) throws Exception {
+        callWithEachCut(route, answer, (id, received) -> {
+            int runs = executions.get(id).get();
+            boolean failed = route.isRepeatable()
+                    ? received.matches("(?s)HTTP/1.1 50[23] .*") && runs <= ATTEMPTS
+                    : received.startsWith("HTTP/1.1 502 ") && runs == 1;
+            return failed && !received.contains("seal");
+        });
+
+        assertThat(wrong).isEmpty();
+    }
+
+    /** Decides whether a caller got what it may get. */
+    @FunctionalInterface
+    private interface Judge {
+        boolean accepts(String id, String received);
+    }
+
+    /** Sends a request for each place of the answer and one for the whole, and collects what the judge rejects. */
+    private void callWithEachCut(TestRoute route, String answer, Judge judge) throws Exception {
+        start(route.kind, route.resumable, (socket, id, number) -> respond(socket, id, answer));
+        List<Future<Void>> outcomes = new ArrayList<>();
+        try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
+            for (int cut = 0; cut < answer.length(); cut++) {
+                String id = String.format("%03d", cut); // as long as any other, so that the cuts stay in place
+                executions.put(id, new AtomicInteger());
+                outcomes.add(callers.submit(() -> {
+                    String received = call(id);
+                    if (!judge.accepts(id, received)) {
+                        wrong.add("cut at " + id + ", executed " + executions.get(id) + " times: " + received);
+                    }
+                    return null;
+                }));
+            }
+        }
+        for (Future<Void> outcome : outcomes) {
+            outcome.get();
+        }
+    }
+
+    private void respond(Socket socket, String id, String answer) throws IOException {
+        executions.get(id).incrementAndGet();
+        String own = answer.replace("ID", id);
+        int cut = Integer.parseInt(id);
+        socket.setTcpNoDelay(true);
+        if (cut > 0) {
+            send(socket, own.substring(0, cut));
+            sleep(1);
+        }
+        socket.getOutputStream().write(own.substring(cut).getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    void prepare(FleetLoop loop, RouteKind kind, boolean resumable) {
+        super.prepare(loop, kind, resumable);
+        Route route = new Route(
+                "r", "host", "/", kind, 5_000, 500, 1, ATTEMPTS, true, resumable, List.of(new WeightedService("s", 1)));
+        FleetConfiguration configuration = FleetConfiguration.of(
+                2,
+                List.of(route),
+                List.of(new ServiceDefinition("s", 10, Optional.empty())),
+                CallerLimits.defaults(),
+                List.of());
+        long now = loop.nowMillis();
+        loop.submit(new FleetEvent.FeedRead(
+                now, Feed.CONFIGURATION, now, true, List.of(new FeedEntry.Configuration(configuration)), 2));
+    }
+}
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -21,6 +21,8 @@
 import org.jackdawbeam.model.error.JackdawbeamException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class BufferedHttpClientTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -279,6 +281,29 @@
         }
     }
 
+    // Guards against a status that counts as the number in it: 0200 as 200, 0409 as 409.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "0", "99", "0200", "+200", "0409", "0412", "600"})
+    void responseWithoutAValidStatusFailsWithItsErrorCode(String status) throws Exception {
+        assertMalformed("HTTP/1.1 " + status + " OK\r\ncontent-length: 2\r\n\r\n{}");
+    }
+
+    private void assertMalformed(String response) throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> {
+                try (Socket socket = server.accept()) {
+                    readRequest(socket);
+                    write(socket, response);
+                    readRequest(socket); // keeps the connection open until the client closes it
+                } catch (IOException e) {
+                    // The client has closed the connection.
+                }
+            });
+
+            assertThat(codeOfFailure(server.getLocalPort())).isEqualTo(ErrorCode.MESSAGE_MALFORMED);
+        }
+    }
+
     /** Responds before the request has been read, without a length, and resets the connection. */
     private static void respondPartly(ServerSocket listener) {
         try (Socket socket = listener.accept()) {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
@@ -69,6 +69,9 @@
                 "http/1.1 500 Broken",
                 "HTTP/1.1 600 Broken",
                 "HTTP/1.1 500",
+                "HTTP/1.1 0 Broken",
+                "HTTP/1.1 20 Broken",
+                "HTTP/1.1 +500 Broken",
             })
     void secondStatusLineOfAnySpellingIsRejected(String statusLine) {
         request(HttpMethod.GET);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -146,6 +146,19 @@
         assertThat(result()).isEqualTo("failed " + AttemptFailure.MALFORMED_ANSWER + " may have run");
     }
 
+    // Guards against a status such as 000, which callers got as an answer, and which was stored for repeated requests.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "0", "99", "0200", "+200", "1000", "600"})
+    void answerWithoutAValidStatusIsAFailure(String status) throws Exception {
+        run(
+                false,
+                "HTTP/1.1 " + status + " Unknown\r\ncontent-length: 33\r\n\r\n"
+                        + "{\"usage\":{\"completion_tokens\":1}}",
+                false);
+
+        assertThat(result()).isEqualTo("failed " + AttemptFailure.MALFORMED_ANSWER + " may have run");
+    }
+
     // Guards against the status of a response that was cut off in its head, with the body of the next one.
     @Test
     void answerWhoseHeadContainsAnotherOneIsAFailure() throws Exception {
