Answers with a blank in the name of a field fail as malformed

Callers got answers with fields that the target did not send: "X Trace: v" was passed on as "X: v". Where the field counted, so did its beginning: "Content-Length x: 3" over a longer body gave a sealed 200 with three bytes, "Request-Id x" and "Server-Seal x" stood for the id and the seal, and "Not-Executed x: 1" on an unsafe request had it sent again although it had run, and at last refused with 503 (TWICE, REFUSED). The same with a blank or tab before the colon. In a trailer such a line was dropped, and the answer looked complete.

Cause: the decoder of responses takes a blank for the end of a name and skips to the colon; the decoder of requests rejects it. The decoded head does not show what was skipped.

Change: ResponseCodec checks, when a name is split off, that the colon follows at once (RFC 9112, section 5.1). This holds for heads, interim heads and trailers, of answers and of control calls. The failure is that of any other malformed head: MALFORMED_ANSWER, the connection is closed, nothing in the head counts, an unsafe request gets 502 and has run once at most.

Held before, and now with a test: control bytes, bytes above 7F, separators, an empty name, a line without a colon, a blank at the start of the first line.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,8 +22,9 @@
 
 /**
  * HTTP codec for connections that carry one request at a time to servers that may send more than one response to it. It
- * tells whether bytes have been received beyond the end of a response, and rejects a head without a valid status and one
- * that consists of two: the beginning of a response that was cut off, and the head of the next one.
+ * tells whether bytes have been received beyond the end of a response, and rejects a head without a valid status, one
+ * with a blank in the name of a field, and one that consists of two: the beginning of a response that was cut off, and the
+ * head of the next one.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
     /** The beginning of a status line with any number for a status; heads are decoded to ISO 8859-1. */
@@ -96,6 +98,15 @@
             return super.createMessage(statusLine);
         }
 
+        /** Checks what follows a name, because the decoder takes a blank for its end and drops the rest up to the colon. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("no colon directly after the name of a field");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return headRequest || super.isContentAlwaysEmpty(message);
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MalformedHeadTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MalformedHeadTest.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Targets whose answers have a head that is no valid HTTP, sent in one piece and cut in two at each byte. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
@@ -64,6 +65,45 @@
             "HTTP/1.1 600 Unknown",
             "HTTP/1.1 999 Unknown");
 
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String SHORT_LENGTH = "id: ID\r\nseal: s\r\ncontent-lengthEND 3\r\n\r\n";
+
+    /** Heads in which a blank or tab stands within the name of a field, or between the name and its colon. */
+    private static final List<String> BLANKS_IN_NAMES = List.of(
+            OK + "x trace: v" + FIELDS,
+            OK + "x\ttrace: v" + FIELDS,
+            OK + "x-trace : v" + FIELDS,
+            OK + "x-trace\t: v" + FIELDS,
+            OK + SHORT_LENGTH.replace("END", " x:"),
+            OK + SHORT_LENGTH.replace("END", " :"),
+            OK + "id x: ID\r\nseal: s\r\ncontent-length: 15\r\n\r\n",
+            OK + "id: ID\r\nseal x: s\r\ncontent-length: 15\r\n\r\n",
+            OK + "server-leaving x: 1" + FIELDS,
+            OK + "not-executed x: 1" + FIELDS,
+            OK + "not-executed : 1" + FIELDS,
+            "HTTP/1.1 503 Busy\r\nnot-executed x: 1" + FIELDS,
+            "HTTP/1.1 503 Busy\r\nnot-executed\t: 1" + FIELDS,
+            "HTTP/1.1 429 Busy\r\nnot-executed : 1" + FIELDS,
+            "HTTP/1.1 103 Early Hints\r\nx link: a\r\n\r\nHTTP/1.1 200 OK" + FIELDS);
+
+    /** Heads with a name that the decoder rejects by itself. */
+    private static final List<String> OTHER_INVALID_NAMES = List.of(
+            OK + "x\u0000trace: v" + FIELDS,
+            OK + "x\u0001trace: v" + FIELDS,
+            OK + "x\u000btrace: v" + FIELDS,
+            OK + "x\ftrace: v" + FIELDS,
+            OK + "x\rtrace: v" + FIELDS,
+            OK + "x\u007ftrace: v" + FIELDS,
+            OK + "x\u0080trace: v" + FIELDS,
+            OK + "x\u00e9trace: v" + FIELDS,
+            OK + "x(trace: v" + FIELDS,
+            OK + "x\"trace: v" + FIELDS,
+            OK + "x/trace: v" + FIELDS,
+            OK + ": v" + FIELDS,
+            OK + "x-trace" + FIELDS,
+            OK + " x-trace: v" + FIELDS,
+            OK + "\tx-trace: v" + FIELDS);
+
     private static final List<String> VALID_HEADS = List.of(
             "HTTP/1.1 200 OK" + FIELDS,
             "HTTP/1.1 200" + FIELDS,
@@ -73,7 +113,13 @@
             "HTTP/1.1 205 Reset Content\r\nid: ID\r\nseal: s\r\ncontent-length: 0\r\n\r\n",
             "HTTP/1.1 304 Not Modified\r\nid: ID\r\nseal: s\r\n\r\n",
             "HTTP/1.1 418 Unusual" + FIELDS,
-            "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK" + FIELDS);
+            "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK" + FIELDS,
+            OK + "!#$%&'*+-.^_`|~09azAZ: v" + FIELDS,
+            OK + "x-trace:v" + FIELDS,
+            OK + "x-trace: \tv \t" + FIELDS,
+            OK + "x-trace:" + FIELDS,
+            OK + "x-trace: a b: c" + FIELDS,
+            OK + "x-trace: v\r\n folded x: v" + FIELDS);
 
     private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
     private final Queue<String> wrong = new ConcurrentLinkedQueue<>();
@@ -101,15 +147,27 @@
         return onEachRoute(INVALID_STATUS_LINES.stream().map(line -> line + FIELDS));
     }
 
+    static Stream<Arguments> blanksInNames() {
+        return onEachRoute(BLANKS_IN_NAMES.stream());
+    }
+
+    static Stream<Arguments> otherInvalidNames() {
+        return onEachRoute(OTHER_INVALID_NAMES.stream());
+    }
+
     static Stream<Arguments> validHeads() {
         return onEachRoute(VALID_HEADS.stream());
     }
 
     private static Stream<Arguments> onEachRoute(Stream<String> heads) {
-        return heads.map(head -> head + (head.contains("content-length: 15") ? BODY : ""))
+        return heads.map(head -> hasBody(head) ? head + BODY : head)
                 .flatMap(answer -> Stream.of(TestRoute.values()).map(route -> Arguments.of(route, answer)));
     }
 
+    private static boolean hasBody(String head) {
+        return head.contains("content-length") && !head.endsWith("content-length: 0\r\n\r\n");
+    }
+
     // Guards against a status such as 000, which callers got as an answer.
     @ParameterizedTest
     @MethodSource("invalidStatusLines")
@@ -117,6 +175,41 @@
         assertHeld(route, answer);
     }
 
+    // Guards against a field that counts by the part of its name before a blank, such as an id, a length, or the
+    // statement that the request has not run.
+    @ParameterizedTest
+    @MethodSource("blanksInNames")
+    void answerWithABlankInTheNameOfAFieldIsAFailure(TestRoute route, String answer) throws Exception {
+        assertHeld(route, answer);
+    }
+
+    @ParameterizedTest
+    @MethodSource("otherInvalidNames")
+    void answerWithAnotherInvalidNameOfAFieldIsAFailure(TestRoute route, String answer) throws Exception {
+        assertHeld(route, answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"x trace: v", "x-trace : v", "x-trace\t: v", "x\u0001trace: v", " x-trace: v", ": v"})
+    void answerWithAnInvalidNameInItsTrailerIsBrokenOff(String trailer) throws Exception {
+        start(RouteKind.SAFE, false, (socket, id, number) -> {
+            send(socket, OK + "id: " + id + "\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n");
+            send(socket, "0\r\n" + trailer + "\r\n\r\n");
+        });
+
+        assertThat(call("1")).contains("hello").doesNotContain("\r\n0\r\n");
+    }
+
+    @Test
+    void answerWithATrailerIsRelayed() throws Exception {
+        start(RouteKind.SAFE, false, (socket, id, number) -> {
+            send(socket, OK + "id: " + id + "\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n");
+            send(socket, "0\r\nx-trace: v\r\n\r\n");
+        });
+
+        assertThat(call("1")).contains("hello").endsWith("\r\n0\r\n\r\n");
+    }
+
     @ParameterizedTest
     @MethodSource("validHeads")
     void answerWithAValidHeadIsRelayed(TestRoute route, String answer) throws Exception {
@@ -139,6 +232,11 @@
         assertBrokenOff("HTTP/1.1 000 Unknown" + FIELDS);
     }
 
+    @Test
+    void streamWhoseNextPartHasABlankInTheNameOfAFieldIsBrokenOff() throws Exception {
+        assertBrokenOff(OK + "content-type x: text/event-stream" + FIELDS);
+    }
+
     private void assertBrokenOff(String nextPart) throws Exception {
         AtomicInteger attempts = new AtomicInteger();
         start(RouteKind.STREAMING, true, (socket, id, number) -> {
@@ -203,10 +301,14 @@
         int cut = Integer.parseInt(id);
         socket.setTcpNoDelay(true);
         if (cut > 0) {
-            send(socket, own.substring(0, cut));
+            write(socket, own.substring(0, cut));
             sleep(1);
         }
-        socket.getOutputStream().write(own.substring(cut).getBytes(StandardCharsets.ISO_8859_1));
+        write(socket, own.substring(cut));
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     @Override
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -288,6 +288,13 @@
         assertMalformed("HTTP/1.1 " + status + " OK\r\ncontent-length: 2\r\n\r\n{}");
     }
 
+    // Guards against a body that ends where a field that is no length says.
+    @ParameterizedTest
+    @ValueSource(strings = {"content-length x: 1", "content-length : 1", "x trace: v", "x-trace\t: v"})
+    void responseWithABlankInTheNameOfAFieldFailsWithItsErrorCode(String field) throws Exception {
+        assertMalformed("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n{}");
+    }
+
     private void assertMalformed(String response) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> {
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
@@ -108,6 +108,16 @@
         assertThat(head.decoderResult().isSuccess()).isTrue();
     }
 
+    @Test
+    void anyTokenIsAcceptedForTheNameOfAField() {
+        request(HttpMethod.GET);
+
+        receive("HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: v\r\ncontent-length: 0\r\n\r\n");
+
+        HttpResponse head = channel.readInbound();
+        assertThat(head.headers().get("!#$%&'*+-.^_`|~09azAZ")).isEqualTo("v");
+    }
+
     @Test
     void bytesBeyondTheEndOfAResponseAreNoticed() {
         request(HttpMethod.GET);
