Stored answers without a valid status are replayed as an unknown outcome

On the project's own interface the answer of a plain service is stored under the idempotency key of its request and replayed to repeated requests, for as long as the key is kept. Entries of earlier versions stored answers whatever their status was, so that after an update, or beside entries that have not been updated, callers could still get a status of 000. Found by reading, while checking the places that answers go to.

Change: such a stored answer is replayed as OUTCOME_UNKNOWN (502), as that of a request whose target failed after it was sent. Stored records and messages between entries are unchanged. New ones with such a status cannot come, see AttemptHandlerTest.

--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/entry/RequestFinisher.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/logic/entry/RequestFinisher.java
@@ -50,9 +50,11 @@
 
     /** Answers a request with the stored answer of another request. The charge is refunded in full. */
     Transition replay(EntryState state, Request request, StoredAnswer answer, long nowMillis) {
+        // Entries of earlier versions store answers whatever their status is.
+        StoredAnswer replayed = answer.hasValidStatus() ? answer : UNKNOWN_OUTCOME;
         EntryState refunded = refund(state, request, 0, nowMillis);
         return Transition.to(refunded.withRequests(refunded.requests().without(request)))
-                .with(new Effect.ReplayAnswer(request.id(), answer));
+                .with(new Effect.ReplayAnswer(request.id(), replayed));
     }
 
     /** Refunds the unused part of the charge. */
