The load tool and the soak's callers notice malformed heads

The load tool counted answers with a status of 000, with a blank in a name, and even heads that its decoder had rejected, as answers, or waited for their end until it was stopped.

Change: the load tool reads answers with the codec of the entries and counts a malformed one as a failure. The soak's callers accept the status and field lines of RFC 9112 only; any other is a broken promise (own_answer).

--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/CallerConnection.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/CallerConnection.java
@@ -11,12 +11,16 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** HTTP connection of a caller, reused until the entry closes it. Not thread-safe. */
 final class CallerConnection implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000; // callers allow a second
     private static final int READ_TIMEOUT_MILLIS = 7_000; // route timeout of 5 s and time to detect a late response
     private static final int HEXADECIMAL = 16;
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.1 ([1-5][0-9]{2})( .*)?");
+    private static final Pattern FIELD_LINE = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):(.*)");
 
     private final InetSocketAddress address;
     private final Runnable onStatus;
@@ -50,7 +54,7 @@
         boolean headSeen = false;
         try {
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            int status = Integer.parseInt(readLine().split(" ")[1]);
+            int status = Integer.parseInt(match(STATUS_LINE, readLine()).group(1));
             headSeen = true;
             onStatus.run();
             Map<String, String> headers = readHeaders();
@@ -60,6 +64,9 @@
                 close();
             }
             return new Outcome.Answered(status, headers, body);
+        } catch (MalformedLineException e) {
+            close();
+            return new Outcome.Malformed(e.line);
         } catch (SocketTimeoutException e) {
             close();
             return new Outcome.GivenUp();
@@ -90,14 +97,20 @@
     private Map<String, String> readHeaders() throws IOException {
         Map<String, String> headers = new HashMap<>();
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
-            int colon = line.indexOf(':');
-            headers.put(
-                    line.substring(0, colon).toLowerCase(Locale.ROOT),
-                    line.substring(colon + 1).trim());
+            Matcher field = match(FIELD_LINE, line);
+            headers.put(field.group(1).toLowerCase(Locale.ROOT), field.group(2).trim());
         }
         return headers;
     }
 
+    private static Matcher match(Pattern pattern, String line) throws MalformedLineException {
+        Matcher matcher = pattern.matcher(line);
+        if (!matcher.matches()) {
+            throw new MalformedLineException(line);
+        }
+        return matcher;
+    }
+
     private String readBody(Map<String, String> headers) throws IOException {
         if (!headers.getOrDefault("transfer-encoding", "").equalsIgnoreCase("chunked")) {
             return readText(Integer.parseInt(headers.getOrDefault("content-length", "0")));
@@ -134,6 +147,17 @@
         return line.toString().stripTrailing();
     }
 
+    private static final class MalformedLineException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        private final String line;
+
+        MalformedLineException(String line) {
+            super("malformed line in a response");
+            this.line = line;
+        }
+    }
+
     @Override
     public void close() {
         if (socket == null) {
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/GuaranteeChecker.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/GuaranteeChecker.java
@@ -76,6 +76,7 @@
         calls.add(call);
         switch (call.outcome()) {
             case Outcome.Answered answered -> checkAnswer(call, answered);
+            case Outcome.Malformed malformed -> recordViolation("own_answer", "response is not valid HTTP: " + call);
             case Outcome.Broken broken -> checkBrokenConnection(call);
             case Outcome.GivenUp givenUp -> checkTimeout(call);
             case Outcome.Unreachable unreachable -> {
--- a/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/Outcome.java
+++ b/jackdawbeam-soak/src/main/java/org/jackdawbeam/soak/Outcome.java
@@ -11,6 +11,13 @@
      */
     record Answered(int status, Map<String, String> headers, String body) implements Outcome {}
 
+    /**
+     * A response whose head or trailer is not valid HTTP.
+     *
+     * @param line the first line that is not valid
+     */
+    record Malformed(String line) implements Outcome {}
+
     /** The connection was closed before the end of the response. */
     record Broken(boolean headSeen) implements Outcome {}
 
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/GuaranteeCheckerTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/GuaranteeCheckerTest.java
@@ -65,6 +65,13 @@
         assertThat(checker.violations()).isEmpty();
     }
 
+    @Test
+    void answerThatIsNotValidHttp() {
+        checker.check(call(RequestKind.READ, new Outcome.Malformed("HTTP/1.1 0 Unknown Status (0)")));
+
+        assertViolation("own_answer");
+    }
+
     @Test
     void paymentThatRanTwice() {
         execute(2);
--- a/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/load/LoadClient.java
+++ b/jackdawbeam-standin/src/main/java/org/jackdawbeam/standin/load/LoadClient.java
@@ -13,7 +13,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -27,6 +26,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import org.jackdawbeam.net.http.ResponseCodec;
 
 /** HTTP load client that measures the time to the first body byte and between events. Reuses connections. */
 final class LoadClient {
@@ -44,7 +44,7 @@
         /** Called when the response is complete, with its duration and number of events. */
         void onEnd(int status, long nanos, long events);
 
-        /** Called when the connection fails or closes before the end of the response. */
+        /** Called when the response is malformed, or when the connection fails or closes before its end. */
         void onFailure();
     }
 
@@ -102,7 +102,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec());
+                        channel.pipeline().addLast(new ResponseCodec());
                     }
                 })
                 .connect(address);
@@ -125,6 +125,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message.decoderResult().isFailure()) {
+                fail();
+                context.close();
+                return;
+            }
             if (message instanceof HttpResponse response) {
                 status = response.status().code();
                 keepAlive = HttpUtil.isKeepAlive(response);
@@ -146,6 +151,10 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            fail();
+        }
+
+        private void fail() {
             if (!ended) {
                 ended = true;
                 listener.onFailure();
