Tests with scripted targets share their listeners

EndlessBytesTest and MalformedHeadProcessTest registered and accepted in the same lines; ScriptedTargets does it for both. What the tests send and check is unchanged; both pass.

--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EndlessBytesTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/EndlessBytesTest.java
@@ -7,7 +7,6 @@
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -32,6 +31,7 @@
     /** Memory of the smallest host of the deployments. */
     private static final long HOST_MEGABYTES = 330;
 
+    private static final String MODELS = "[{\"name\":\"small\",\"version\":1,\"adapters\":[]}]";
     private static final String OWN_HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Seal: s\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
     private static final List<Bytes> ENDLESS = List.of(
@@ -48,11 +48,11 @@
     @TempDir
     private Path folder;
 
-    private final List<ServerSocket> targets = new ArrayList<>();
     private final AtomicLong bytesSent = new AtomicLong();
     private final AtomicInteger reportsAsked = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
     private SoakSite site;
+    private ScriptedTargets targets;
     private volatile boolean stopped;
 
     /** Bytes that a target sends: a beginning, and what it repeats until its connection is closed. */
@@ -62,15 +62,14 @@
     void stop() throws IOException {
         stopped = true;
         site.close();
-        for (ServerSocket target : targets) {
-            target.close();
-        }
+        targets.close();
     }
 
     // Guards against targets that end the process, and with it the requests of all callers, by what they send.
     @Test
     void entryKeepsRunningAndServingWhileTargetsSendBytesWithoutEnd() throws Exception {
         site = new SoakSite(1, folder);
+        targets = new ScriptedTargets(site);
         EntryProcess entry = site.entries().getFirst();
         entry.start();
         long until = System.currentTimeMillis() + STARTUP_MILLIS;
@@ -79,12 +78,9 @@
             Thread.sleep(100);
         }
         for (int number = 0; number < TARGETS; number++) {
-            startTarget(
-                    "bad-engine-" + number,
-                    "engines",
-                    "[{\"name\":\"small\",\"version\":1,\"adapters\":[]}]",
-                    ENDLESS.get(number % ENDLESS.size()));
-            startTarget("bad-service-" + number, "payments", "[]", ENDLESS.get(number % ENDLESS.size()));
+            Bytes bytes = ENDLESS.get(number % ENDLESS.size());
+            targets.start("bad-engine-" + number, "engines", MODELS, socket -> sendWithoutEnd(socket, bytes));
+            targets.start("bad-service-" + number, "payments", "[]", socket -> sendWithoutEnd(socket, bytes));
         }
         List<Thread> callers = new ArrayList<>();
         for (int number = 0; number < CALLERS; number++) {
@@ -144,48 +140,24 @@
         }
     }
 
-    private void startTarget(String id, String service, String models, Bytes bytes) throws IOException {
-        ServerSocket target = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
-        targets.add(target);
-        Thread.ofVirtual().start(() -> {
-            while (!target.isClosed()) {
-                try {
-                    Socket socket = target.accept();
-                    Thread.ofVirtual().start(() -> sendWithoutEnd(socket, bytes));
-                } catch (IOException e) {
-                    // The target has been closed at the end of the test.
-                }
-            }
-        });
-        String registration = """
-                {"service":"%s","address":"127.0.0.1:%d","zone":"zone-1","version":"1","slots":64,"state":"ready",
-                 "coldLeftMs":0,"seq":0,"born":1,"models":%s}""".formatted(service, target.getLocalPort(), models);
-        site.fleet().store().put("keyed.servers", id, registration.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private void sendWithoutEnd(Socket socket, Bytes bytes) {
-        try (socket) {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-            String id = "";
-            boolean report = false;
-            for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
-                report |= line.startsWith("GET /v1/report");
-                id = line.toLowerCase().startsWith("request-id: ") ? line.substring("request-id: ".length()) : id;
-            }
-            reportsAsked.addAndGet(report ? 1 : 0);
-            String beginning =
-                    report ? "HTTP/1.1 200 OK\r\n\r\n" : bytes.beginning().replace("ID", id);
-            String repeated =
-                    bytes.repeated().repeat(16 * 1024 / bytes.repeated().length());
-            socket.getOutputStream().write(beginning.getBytes(StandardCharsets.UTF_8));
-            byte[] block = repeated.getBytes(StandardCharsets.UTF_8);
-            while (!stopped) {
-                socket.getOutputStream().write(block);
-                bytesSent.addAndGet(block.length);
-            }
-        } catch (IOException e) {
-            // The entry has closed the connection.
+    private void sendWithoutEnd(Socket socket, Bytes bytes) throws IOException {
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        String id = "";
+        boolean report = false;
+        for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+            report |= line.startsWith("GET /v1/report");
+            id = line.toLowerCase().startsWith("request-id: ") ? line.substring("request-id: ".length()) : id;
+        }
+        reportsAsked.addAndGet(report ? 1 : 0);
+        String beginning =
+                report ? "HTTP/1.1 200 OK\r\n\r\n" : bytes.beginning().replace("ID", id);
+        String repeated = bytes.repeated().repeat(16 * 1024 / bytes.repeated().length());
+        socket.getOutputStream().write(beginning.getBytes(StandardCharsets.UTF_8));
+        byte[] block = repeated.getBytes(StandardCharsets.UTF_8);
+        while (!stopped) {
+            socket.getOutputStream().write(block);
+            bytesSent.addAndGet(block.length);
         }
     }
 }
--- a/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/MalformedHeadProcessTest.java
+++ b/jackdawbeam-soak/src/test/java/org/jackdawbeam/soak/MalformedHeadProcessTest.java
@@ -6,8 +6,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.Writer;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -40,24 +38,23 @@
     @TempDir
     private Path folder;
 
-    private final List<ServerSocket> targets = new ArrayList<>();
     /** Heads with which requests were answered, by request id. */
     private final Map<String, List<String>> answered = new ConcurrentHashMap<>();
 
     private SoakSite site;
+    private ScriptedTargets targets;
 
     @AfterEach
     void stop() throws IOException {
         site.close();
-        for (ServerSocket target : targets) {
-            target.close();
-        }
+        targets.close();
     }
 
     // Guards against answers that are none, and against a payment that runs again after one.
     @Test
     void paymentThatIsAnsweredWithAMalformedHeadFailsAndRunsOnce() throws Exception {
         site = new SoakSite(1, folder);
+        targets = new ScriptedTargets(site);
         site.entries().getFirst().start();
         long until = System.currentTimeMillis() + STARTUP_MILLIS;
         while (!(pay("start-" + System.nanoTime()) instanceof Outcome.Answered start) || start.status() != 200) {
@@ -65,7 +62,8 @@
             Thread.sleep(100);
         }
         for (int number = 0; number < TARGETS_FOR_EACH_HEAD * HEADS.size(); number++) {
-            startTarget("bad-service-" + number, HEADS.get(number % HEADS.size()));
+            String head = HEADS.get(number % HEADS.size());
+            targets.start("bad-service-" + number, "payments", "[]", socket -> respond(socket, head));
         }
 
         List<String> wrong = new ArrayList<>();
@@ -93,40 +91,17 @@
         }
     }
 
-    private void startTarget(String id, String head) throws IOException {
-        ServerSocket target = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
-        targets.add(target);
-        Thread.ofVirtual().start(() -> {
-            while (!target.isClosed()) {
-                try {
-                    Socket socket = target.accept();
-                    Thread.ofVirtual().start(() -> respond(socket, head));
-                } catch (IOException e) {
-                    // The target has been closed at the end of the test.
-                }
-            }
-        });
-        String registration = """
-                {"service":"payments","address":"127.0.0.1:%d","zone":"zone-1","version":"1","slots":64,"state":"ready",
-                 "coldLeftMs":0,"seq":0,"born":1,"models":[]}""".formatted(target.getLocalPort());
-        site.fleet().store().put("keyed.servers", id, registration.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private void respond(Socket socket, String head) {
-        try (socket) {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-            String id = "";
-            for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
-                id = line.toLowerCase().startsWith("request-id: ") ? line.substring("request-id: ".length()) : id;
-            }
-            if (!id.isEmpty()) {
-                answered.computeIfAbsent(id, key -> new ArrayList<>()).add(head);
-            }
-            socket.getOutputStream().write(head.replace("ID", id).getBytes(StandardCharsets.ISO_8859_1));
-            reader.transferTo(Writer.nullWriter()); // until the entry closes the connection
-        } catch (IOException e) {
-            // The entry has closed the connection.
+    private void respond(Socket socket, String head) throws IOException {
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        String id = "";
+        for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+            id = line.toLowerCase().startsWith("request-id: ") ? line.substring("request-id: ".length()) : id;
+        }
+        if (!id.isEmpty()) {
+            answered.computeIfAbsent(id, key -> new ArrayList<>()).add(head);
         }
+        socket.getOutputStream().write(head.replace("ID", id).getBytes(StandardCharsets.ISO_8859_1));
+        reader.transferTo(Writer.nullWriter()); // until the entry closes the connection
     }
 }
