--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -23,8 +23,8 @@
 /**
  * HTTP codec for connections that carry one request at a time to servers that may send more than one response to it. It
  * tells whether bytes have been received beyond the end of a response, and rejects a head without a valid status, one
- * with a blank in the name of a field, and one that consists of two: the beginning of a response that was cut off, and the
- * head of the next one.
+ * with a blank in the name of a field, and one that consists of two: the beginning of a response that was cut off, and
+ * the head of the next one.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
     /** The beginning of a status line with any number for a status; heads are decoded to ISO 8859-1. */
@@ -98,7 +98,7 @@
             return super.createMessage(statusLine);
         }
 
-        /** Checks what follows a name, because the decoder takes a blank for its end and drops the rest up to the colon. */
+        /** Checks what follows a name: the decoder takes a blank for its end and drops the rest up to the colon. */
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             if (line[start + length] != ':') {
