--- a/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
+++ b/jackdawbeam-lib/src/main/java/org/jackdawbeam/net/http/ResponseCodec.java
@@ -23,7 +23,7 @@
 /**
  * HTTP codec for connections that carry one request at a time to servers that may send more than one response to it. It
  * tells whether bytes have been received beyond the end of a response, and rejects a head without a valid status, one
- * with a blank in the name of a field, and one that consists of two: the beginning of a response that was cut off, and
+ * with whitespace in a field name, and one that consists of two: the beginning of a response that was cut off, and
  * the head of the next one.
  */
 public final class ResponseCodec extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -98,11 +98,11 @@
             return super.createMessage(statusLine);
         }
 
-        /** Checks what follows a name: the decoder takes a blank for its end and drops the rest up to the colon. */
+        /** Checks what follows a name: the decoder takes whitespace for its end and drops the rest up to the colon. */
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             if (line[start + length] != ':') {
-                throw new IllegalArgumentException("no colon directly after the name of a field");
+                throw new IllegalArgumentException("a field name is not followed by a colon");
             }
             return super.splitHeaderName(line, start, length);
         }
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MalformedHeadTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/fleet/MalformedHeadTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiPredicate;
 import java.util.stream.Stream;
 import org.jackdawbeam.model.fleet.RouteKind;
 import org.junit.jupiter.api.Test;
@@ -60,8 +61,8 @@
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String SHORT_LENGTH = "id: ID#\r\nseal: s\r\ncontent-lengthEND 3\r\n\r\n";
 
-    /** Heads in which a blank or tab stands within the name of a field, or between the name and its colon. */
-    private static final List<String> BLANKS_IN_NAMES = List.of(
+    /** Heads with a space or tab within a field name, or between the name and its colon. */
+    private static final List<String> WHITESPACE_IN_NAMES = List.of(
             OK + "x trace: v" + FIELDS,
             OK + "x\ttrace: v" + FIELDS,
             OK + "x-trace : v" + FIELDS,
@@ -139,8 +140,8 @@
         return onEachRoute(INVALID_STATUS_LINES.stream().map(line -> line + FIELDS));
     }
 
-    static Stream<Arguments> blanksInNames() {
-        return onEachRoute(BLANKS_IN_NAMES.stream());
+    static Stream<Arguments> whitespaceInNames() {
+        return onEachRoute(WHITESPACE_IN_NAMES.stream());
     }
 
     static Stream<Arguments> otherInvalidNames() {
@@ -167,23 +168,23 @@
         assertHeld(route, answer);
     }
 
-    // Guards against a field that counts by the part of its name before a blank, such as an id, a length, or the
+    // Guards against a field that counts by the part of its name before whitespace, such as an id, a length, or the
     // statement that the request has not run.
     @ParameterizedTest
-    @MethodSource("blanksInNames")
-    void answerWithABlankInTheNameOfAFieldIsAFailure(TestRoute route, String answer) throws Exception {
+    @MethodSource("whitespaceInNames")
+    void answerWithWhitespaceInAFieldNameIsAFailure(TestRoute route, String answer) throws Exception {
         assertHeld(route, answer);
     }
 
     @ParameterizedTest
     @MethodSource("otherInvalidNames")
-    void answerWithAnotherInvalidNameOfAFieldIsAFailure(TestRoute route, String answer) throws Exception {
+    void answerWithAnotherInvalidFieldNameIsAFailure(TestRoute route, String answer) throws Exception {
         assertHeld(route, answer);
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"x trace: v", "x-trace : v", "x-trace\t: v", "x\u0001trace: v", " x-trace: v", ": v"})
-    void answerWithAnInvalidNameInItsTrailerIsBrokenOff(String trailer) throws Exception {
+    void answerWithAnInvalidFieldNameInItsTrailerIsBrokenOff(String trailer) throws Exception {
         start(RouteKind.SAFE, false, (socket, id, number) -> {
             send(socket, OK + "id: " + id + "\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n");
             send(socket, "0\r\n" + trailer + "\r\n\r\n");
@@ -225,7 +226,7 @@
     }
 
     @Test
-    void streamWhoseNextPartHasABlankInTheNameOfAFieldIsBrokenOff() throws Exception {
+    void streamWhoseNextPartHasWhitespaceInAFieldNameIsBrokenOff() throws Exception {
         assertBrokenOff(OK + "content-type x: text/event-stream" + FIELDS);
     }
 
@@ -259,26 +260,21 @@
         assertThat(wrong).isEmpty();
     }
 
-    /** Decides whether a caller got what it may get. */
-    @FunctionalInterface
-    private interface Judge {
-        boolean accepts(String id, String received);
-    }
-
-    /** Sends a request for each place of the answer and one for the whole, and collects what the judge rejects. */
-    private void callWithEachCut(TestRoute route, String answer, Judge judge) throws Exception {
+    /** Sends a request for each place of the answer and one for the whole, and collects unexpected outcomes by id. */
+    private void callWithEachCut(TestRoute route, String answer, BiPredicate<String, String> isExpected)
+            throws Exception {
         start(route.kind, route.resumable, (socket, id, number) -> respond(socket, id, answer));
         List<Future<Void>> outcomes = new ArrayList<>();
         try (ExecutorService callers = Executors.newFixedThreadPool(CALLERS)) {
             for (int cut = 0; cut < answer.length(); cut++) {
-                String id = String.format("%03d", cut); // as long as its placeholder
+                String id = String.format("%03d", cut); // as long as its placeholder, so that cuts stay in place
                 executions.put(id, new AtomicInteger());
                 outcomes.add(callers.submit(() -> {
                     if (wrong.size() >= SHOWN_FAILURES) {
                         return null;
                     }
                     String received = call(id);
-                    if (!judge.accepts(id, received)) {
+                    if (!isExpected.test(id, received)) {
                         wrong.add("cut at " + id + ", executed " + executions.get(id) + " times: " + received);
                     }
                     return null;
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/BufferedHttpClientTest.java
@@ -291,7 +291,7 @@
     // Guards against a body that ends where a field that is no length says.
     @ParameterizedTest
     @ValueSource(strings = {"content-length x: 1", "content-length : 1", "x trace: v", "x-trace\t: v"})
-    void responseWithABlankInTheNameOfAFieldFailsWithItsErrorCode(String field) throws Exception {
+    void responseWithWhitespaceInAFieldNameFailsWithItsErrorCode(String field) throws Exception {
         assertMalformed("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n{}");
     }
 
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/http/ResponseCodecTest.java
@@ -109,7 +109,7 @@
     }
 
     @Test
-    void anyTokenIsAcceptedForTheNameOfAField() {
+    void anyTokenIsAcceptedAsAFieldName() {
         request(HttpMethod.GET);
 
         receive("HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: v\r\ncontent-length: 0\r\n\r\n");
--- a/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
+++ b/jackdawbeam-lib/src/test/java/org/jackdawbeam/net/target/AttemptHandlerTest.java
@@ -162,7 +162,7 @@
     // Guards against a body that ends where a field that is no length says.
     @ParameterizedTest
     @ValueSource(strings = {"content-length x", "content-length ", "content-length\t"})
-    void answerWithABlankInTheNameOfAFieldIsAFailure(String name) throws Exception {
+    void answerWithWhitespaceInAFieldNameIsAFailure(String name) throws Exception {
         run(false, "HTTP/1.1 200 OK\r\n" + name + ": 33\r\n\r\n{\"usage\":{\"completion_tokens\":1}}...", false);
 
         assertThat(result()).isEqualTo("failed " + AttemptFailure.MALFORMED_ANSWER + " may have run");
